--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,639 @@
+//! Every decision of a node. Types, events and actions: `src/interface.rs`; its records: `src/state.rs`.
+//! The ordinary path is HSQ (Islam, "Network Load Balancing Methods", IV.E): `Balancer::pick` sends to
+//! the lowest count and adds one, `Balancer::report` lets a fresh report overwrite its server's count.
+//! All else decides which servers may be picked, and what becomes of a request that was not served.
+
+use std::collections::HashMap;
+
+use crate::interface::*;
+use crate::state::{Attempt, Held, Lane, Mean, Pace, Recent, Server};
+
+/// Weight of one more outcome in a running mean: about the last sixteen count.
+const GAIN: f64 = 1.0 / 16.0;
+/// Outcomes that the knowledge of a server's kind weighs as much as, beside the server's own.
+const PRIOR: f64 = 4.0;
+/// Outcomes lose half their weight in this many mean aims: what is not confirmed is forgotten.
+const MEMORY: f64 = 6.0;
+/// A server expected to take this many times as long as the best is not picked; where not all servers are
+/// heard of within an aim, counts are older and the second figure holds.
+const BACKED_UP: [f64; 2] = [2.5, 1.5];
+/// A server is taken out, or spared a tenant it is full for, for this many mean aims.
+const EJECT: f64 = 2.0;
+/// Mean deviations beyond the mean latency that are no ordinary answer (as TCP's time-out, RFC 6298).
+const DEVIATIONS: f64 = 4.0;
+/// Where no budget of further attempts is set: this share of the requests over so many mean aims, so that
+/// they cannot multiply an overload.
+const RETRY_SHARE: f64 = 0.2;
+const RETRY_SPAN: f64 = 25.0;
+/// Part of the window for repeats within which a resend is made: it must arrive in it, too.
+const WINDOW_PART: f64 = 0.8;
+/// Part of its aim an answer may be expected to take, the second where the count is fresh; the least worth
+/// gets `LEAST_AIM` of that.
+const AIM_PART: [f64; 2] = [0.45, 0.8];
+const LEAST_AIM: f64 = 0.5;
+/// How many aims may pass until a busy node comes round in its subset; the least is as many as are asked.
+const ROUND: f64 = 4.0;
+/// Servers that are asked for their load before a send, where that costs no more of the result than
+/// `PROBE_COST` and the answers take no more than `ASK_PART` of a mean aim.
+const SAMPLE: usize = 5;
+const PROBE_COST: f64 = 0.02;
+const ASK_PART: f64 = 0.02;
+const LOST_MORE: f64 = 0.2; // Idle connections are closed before use where so much more is lost on them.
+const AGAIN: f64 = 0.125; // An overdue attempt is asked after again after this part of a mean aim.
+const FEW: usize = 2; // Servers among which the lowest count decides where reports are old.
+const TRIALS: f64 = 2.0; // All nodes together try an idle server about this often in a mean aim.
+/// The longest wait before a new subscription, as a part of what may pass without; the shortest is a 16th.
+const RESUBSCRIBE_MOST: f64 = 0.25;
+const COLD_PART: f64 = 0.5; // Of a cold server's budget: sizes are guesses, arrivals come in bunches.
+const WAIT_PART: f64 = 0.95; // Part of its time after which a request that still waits is answered.
+const EDGE_MS: f64 = 1.0; // The windows of the budget are counted this much on the safe side.
+
+const RESUBSCRIBE: u64 = 0; // The timer for a new subscription; others are a request's id times 8, and kind:
+const WAITED: u64 = 1; // a request that waits for its turn is out of time;
+const TURN: u64 = 2; // a key has rested;
+const ASKED: u64 = 3; // servers that were asked for their load have had their time;
+const OVERDUE: u64 = 4; // an attempt takes longer than answers ordinarily do.
+
+/// A server as `pick` sees it.
+struct Candidate {
+    server: usize,
+    /// Expected latency there, and the count in the same unit.
+    wait: f64,
+    rank: f64,
+    untested: bool,
+    healthy: bool,
+    near: bool,
+    met: bool,
+}
+
+/// Decides for one node. See the [crate] page for an example. The default knows no class and fails all.
+#[derive(Default)]
+pub struct Balancer {
+    settings: Settings,
+    random: fastrand::Rng,
+    now: f64,
+    actions: Vec<Action>,
+    servers: Vec<Option<Server>>,
+    /// The ready servers in one order for all nodes, turned so that this node's subset comes first.
+    ring: Vec<usize>,
+    subset: usize,
+    held: HashMap<RequestId, Held>,
+    lanes: HashMap<Box<str>, Lane>,
+    /// When requests were taken and further attempts sent, as far back as the budget looks.
+    budget: ResendBudget,
+    taken: Recent,
+    resent: Recent,
+    /// Latency by class, as a multiple of what was expected; pace of all servers and by kind.
+    classes: Vec<Mean>,
+    all: Pace,
+    kinds: Vec<Pace>,
+    /// Mean aim of the classes, the time scale of all judgements, and the half-life of what is learned.
+    aim: f64,
+    half_life: f64,
+    /// Time between requests; whether each server is heard of in an aim.
+    gap: Mean,
+    last_request: Option<f64>,
+    informed: bool,
+    /// Whether counts are asked for before each send, and how long the answers take.
+    probing: bool,
+    asking_takes: Mean,
+    /// Share of attempts that got no answer, on connections just used or new and on idle ones.
+    lost: [Mean; 2],
+    served: Recent,
+    subscribed: bool,
+    subscribing: bool,
+    failed_calls: i32,
+}
+
+impl Balancer {
+    /// A balancer that knows no server yet. The error names the first setting that makes no sense.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        let aim = settings.classes.iter().map(|c| c.aim_ms).sum::<f64>() / settings.classes.len() as f64;
+        let free = settings.max_attempts as f64;
+        let own = ResendBudget { free, per_request: RETRY_SHARE, span_ms: RETRY_SPAN * aim };
+        let cheap = SAMPLE as f64 * settings.probe_price <= PROBE_COST;
+        Ok(Self {
+            random: fastrand::Rng::with_seed(seed),
+            subset: SAMPLE,
+            budget: settings.resends.unwrap_or(own),
+            classes: vec![Mean { mean: 1.0, ..Mean::default() }; settings.classes.len()],
+            kinds: vec![Pace::default(); settings.kinds],
+            half_life: MEMORY * aim,
+            probing: settings.probes && settings.reports != Reports::Off && cheap,
+            informed: true,
+            aim,
+            settings,
+            ..Self::default()
+        })
+    }
+
+    /// Takes one event that happened at `now` and appends what is to be done, in that order.
+    /// Time never runs backwards between calls. Events about what is not known are passed over.
+    pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::Servers(listing) => self.listing(listing),
+            Event::Request(request) => self.request(request),
+            Event::Outcome(outcome) => self.outcome(&outcome),
+            Event::ClientGone(id) => self.client_gone(id),
+            Event::Timer(RESUBSCRIBE) if std::mem::take(&mut self.subscribing) => {
+                self.actions.push(Action::Subscribe);
+            }
+            Event::Timer(timer) => self.timer(RequestId(timer >> 3), timer & 7),
+            Event::Probed { server, elapsed_ms, ending, report } => {
+                self.probed(server.0, elapsed_ms, report.filter(|_| ending == Ending::Served));
+            }
+            Event::StreamStarted { .. } => {}
+        }
+        actions.append(&mut self.actions);
+    }
+
+    fn listing(&mut self, listing: Listing) {
+        let (entries, complete) = match listing {
+            Listing::Changes(entries) => (entries, false),
+            Listing::Full(entries) | Listing::Cached(entries) => (entries, true),
+            Listing::Failed if self.subscribing => return,
+            Listing::Failed => return self.resubscribe(),
+        };
+        if std::mem::take(&mut self.failed_calls) > 0 {
+            self.actions.push(Action::Note("the list of servers comes again".into()));
+        }
+        let subscribe = self.settings.discovery == Discovery::Subscribe;
+        if subscribe && !std::mem::replace(&mut self.subscribed, true) {
+            self.actions.push(Action::Subscribe);
+        }
+        if complete {
+            for server in self.servers.iter_mut().flatten() {
+                server.entry.availability = Availability::Gone;
+            }
+        }
+        for entry in entries {
+            let at = entry.server.0;
+            if self.servers.len() <= at {
+                self.servers.resize_with(at + 1, || None);
+            }
+            match &mut self.servers[at] {
+                Some(server) if server.entry.started_at == entry.started_at => server.entry = entry,
+                place => {
+                    // What was learned of a process does not hold for its successor.
+                    let (out, threshold) = (place.as_ref().map_or(0, |old| old.out), self.random.f64());
+                    *place = Some(Server { threshold, entry, out, ..Server::default() });
+                }
+            }
+        }
+        // Guards against every node connecting to every server. Nodes start evenly along the ring and keep to
+        // the first servers from there that may be used; a change of the list moves few of them.
+        let place =
+            |(at, s): (usize, &Option<Server>)| Some((s.as_ref().filter(|s| s.is_ready())?.entry.place, at));
+        let mut ring: Vec<_> = self.servers.iter().enumerate().filter_map(place).collect();
+        ring.sort_unstable();
+        let start = self.settings.me * ring.len() / self.settings.nodes;
+        ring.rotate_left(start);
+        self.ring = ring.into_iter().map(|(_, at)| at).collect();
+    }
+
+    /// Guards against a lost subscription: without one the node would send to servers long gone.
+    fn resubscribe(&mut self) {
+        if self.failed_calls == 0 {
+            self.actions.push(Action::Note("the list of servers does not come".into()));
+        }
+        self.subscribing = true;
+        let most = self.settings.ask_within_ms * RESUBSCRIBE_MOST;
+        let after_ms = most / 2_f64.powi(4 - self.failed_calls) * (0.5 + 0.5 * self.random.f64());
+        self.failed_calls = (self.failed_calls + 1).min(4);
+        self.actions.push(Action::SetTimer { timer: RESUBSCRIBE, after_ms });
+    }
+
+    /// A report overwrites the count of its server alone.
+    fn report(&mut self, at: usize, report: Option<Report>) {
+        let reading = report.and_then(|r| r.in_flight.or(r.queued));
+        if let (Some(server), Some(reading)) = (&mut self.servers[at], reading) {
+            server.count = Some(reading);
+        }
+    }
+
+    /// The server with the lowest count among the eligible, ties broken at random.
+    fn pick(&mut self, held: &Held, aim: f64) -> Option<usize> {
+        let mut candidates = self.candidates(held);
+        let least =
+            |c: &[Candidate], of: fn(&Candidate) -> f64| c.iter().map(of).fold(f64::INFINITY, f64::min);
+        // Guards against refusals all at once: the fewer requests in half an aim, the less is known.
+        let sure = if self.probing { 0.0 } else { (2.0 * self.gap.mean / self.aim).min(1.0) };
+        let draw = self.random.f64().powf(sure);
+        candidates.retain(|c| c.wait * draw <= aim || c.untested);
+        // Guards against servers whose answers take long of late, whatever they report.
+        let bound = least(&candidates, |c| c.wait) * BACKED_UP[usize::from(!self.informed)];
+        candidates.retain(|c| self.probing || c.wait <= bound);
+        if self.informed {
+            // Nodes that keep to their zones are less in each other's way.
+            prefer(&mut candidates, |c| c.near);
+        } else if !self.probing {
+            // Guards against hearing of all too seldom: a node that sees little keeps to servers it met, and
+            // to those just started. Guards against a herd: every node reads the same low report, so where
+            // reports are old each looks at a few servers only, drawn afresh.
+            prefer(&mut candidates, |c| c.met);
+            self.random.shuffle(&mut candidates);
+            candidates.truncate(FEW);
+        }
+        let lowest = least(&candidates, |c| c.rank);
+        candidates.retain(|c| c.rank <= lowest);
+        self.random.choice(candidates).map(|c| c.server)
+    }
+
+    /// The subset: the first servers of the ring that the rules allow for this request and that are healthy;
+    /// where none is, the first that are not. Of a request that has asked for loads, those that answered.
+    fn candidates(&mut self, held: &Held) -> Vec<Candidate> {
+        let (now, half_life, nodes) = (self.now, self.half_life, self.settings.nodes as f64);
+        let effect = self.settings.classes[held.class].effect;
+        let all = self.all.or(now, MEMORY * self.aim, (self.aim / 4.0, 1.0), PRIOR);
+        let kinds = self.kinds.iter().filter(|_| !self.probing);
+        let kinds: Vec<_> = kinds.map(|k| k.or(now, half_life, all, PRIOR)).collect();
+        let of_kind = |s: &Server| kinds.get(s.entry.kind).copied().unwrap_or(all);
+        let size = |s: &Server| of_kind(s).1 / of_kind(s).0;
+        let window = now - self.settings.tip_after_ms;
+        let served = self.served.after(window);
+        let most = if self.probing { self.subset } else { self.ring.len() };
+        let subset = || self.ring.iter().take(most).filter_map(|at| self.servers[*at].as_ref());
+        let total: f64 = subset().map(size).sum();
+        let counts = subset().filter_map(|s| Some(s.count? / size(s)));
+        let mean = counts.clone().sum::<f64>() / counts.count().max(1) as f64;
+        let home = held.ran.and_then(|first| self.servers[held.attempts[first].server].as_ref());
+        let home = home.map(|s| s.entry.clone());
+        let (mut found, mut candidates) = (0, Vec::new());
+        for at in if held.heard.is_empty() { &self.ring } else { &held.heard }.iter().copied() {
+            let Some(server) = self.servers[at].as_mut().filter(|s| s.is_ready()) else { continue };
+            if !home.as_ref().is_none_or(|home| effect.may_move(home, &server.entry)) {
+                continue;
+            }
+            let of = if self.probing { all } else { server.pace.or(now, half_life, of_kind(server), PRIOR) };
+            let (pace, size) = (of.0 / of.1, size(server));
+            let count = *server.count.get_or_insert(mean * size);
+            let age = now - server.entry.started_at.unwrap_or(f64::NEG_INFINITY);
+            if age < self.settings.cold_ms {
+                // Guards a cold server, which looks idle: all nodes keep to its budget, each in step with
+                // what it served. Of less than one request the threshold lets some nodes send one.
+                let from = self.settings.cold_from;
+                let warmth = from + (1.0 - from) * (age / self.settings.cold_ms).max(0.0);
+                let share = warmth * size / total;
+                let budget = COLD_PART * self.settings.tip_multiple * share * served;
+                if server.cold_sends.after(window) + server.threshold >= budget.max(1.0 / nodes) {
+                    continue;
+                }
+            }
+            // Guards against servers that turn away one tenant, or class, alone.
+            let full = server.full_for.iter().any(|f| f.0 == held.whom && f.1 > now);
+            let out = server.ejected_until.is_some_and(|until| until > now || server.out > 0);
+            // Guards against refusals without end: all nodes together go on trying an idle server.
+            let idle_long = server.out == 0 && now - server.pace.at > self.aim * nodes / TRIALS;
+            candidates.push(Candidate {
+                server: at,
+                wait: if self.probing { count + 1.0 } else { server.out as f64 + 1.0 } * pace,
+                rank: if self.probing { count } else { count * pace },
+                untested: if self.probing { count == 0.0 } else { self.informed && idle_long },
+                healthy: !full && !out,
+                near: server.entry.zone == self.settings.zone,
+                met: server.met || age < self.settings.cold_ms,
+            });
+            found += usize::from(!full && !out);
+            if found >= most {
+                break;
+            }
+        }
+        prefer(&mut candidates, |c| c.healthy);
+        prefer(&mut candidates, |c| held.attempts.iter().all(|a| a.server != c.server));
+        candidates.truncate(most);
+        candidates
+    }
+
+    fn request(&mut self, request: Request) {
+        let (id, now) = (request.id, self.now);
+        let Some(class) = self.settings.classes.get(request.class) else {
+            return self.actions.push(Action::Fail { request: id });
+        };
+        let held = Held {
+            class: request.class,
+            whom: if self.settings.quotas_per_s.len() > 1 { request.tenant } else { request.class },
+            lane: request.item.filter(|_| class.in_order),
+            taken_at: now,
+            gives_up_at: now + request.budget_ms,
+            ..Held::default()
+        };
+        let last = self.last_request.replace(now);
+        self.gap.add(now - last.unwrap_or(now), GAIN / 4.0);
+        if self.gap.seen >= 1.0 / GAIN {
+            // It does not shrink again, or each swing of the traffic would cost connections.
+            self.subset = self.subset.max((ROUND * self.aim / self.gap.mean) as usize);
+        }
+        let round = self.gap.mean * self.ring.len() as f64;
+        self.informed = round <= self.aim;
+        self.half_life = round.max(MEMORY * self.aim);
+        self.taken.push(now);
+        self.spare_resends();
+        // Guards the order of a key: its later requests wait until all before them are over.
+        if let Some(key) = held.lane.clone().filter(|_| !self.too_late(&held)) {
+            self.lanes.retain(|_, lane| !lane.queue.is_empty() || lane.rests_until > now);
+            let lane = self.lanes.entry(key).or_default();
+            lane.queue.push_back(id);
+            let (first, rest) = (lane.queue.len() == 1, lane.rests_until - now);
+            if !first || rest > 0.0 {
+                self.set(id, WAITED, request.budget_ms * WAIT_PART);
+                if first {
+                    self.set(id, TURN, rest);
+                }
+                self.held.insert(id, held);
+                return;
+            }
+        }
+        self.place(id, held);
+    }
+
+    /// Sends a request, for the first time or again, asks for loads before, or answers it.
+    fn place(&mut self, id: RequestId, mut held: Held) {
+        if held.answered || self.too_late(&held) || !self.may_repeat(&held) {
+            return self.leave(id, held);
+        }
+        if self.probing && held.asked.is_empty() {
+            // Guards against counts that are long out of date when they decide: a node with a request a
+            // second hears too seldom of any server. Those that do not answer in time are passed over.
+            held.heard.clear();
+            let candidates = self.candidates(&held);
+            held.asked.extend(candidates.iter().map(|c| c.server));
+            self.random.shuffle(&mut held.asked);
+            held.asked.truncate(SAMPLE);
+            for at in &held.asked {
+                self.ask(*at, id);
+            }
+            if !held.asked.is_empty() {
+                self.set(id, ASKED, ASK_PART * self.aim);
+                self.held.insert(id, held);
+                return;
+            }
+        }
+        let first = held.attempts.is_empty();
+        let aim = if first || self.probing { self.worthwhile(&held) } else { f64::INFINITY };
+        let spare = first || self.spare_resends() >= 1.0;
+        if let Some(server) = spare.then(|| self.pick(&held, aim)).flatten() {
+            self.send(id, &mut held, server);
+            self.held.insert(id, held);
+        } else {
+            self.leave(id, held);
+        }
+    }
+
+    fn ask(&mut self, at: usize, id: RequestId) {
+        let server = self.servers[at].as_mut().expect("listed");
+        if server.asked.is_empty() {
+            self.actions.push(Action::Probe { server: ServerId(at) });
+        }
+        server.asked.push(id);
+    }
+
+    fn set(&mut self, id: RequestId, kind: u64, after_ms: f64) {
+        self.actions.push(Action::SetTimer { timer: id.0 << 3 | kind, after_ms });
+    }
+
+    fn probed(&mut self, at: usize, elapsed_ms: f64, report: Option<Report>) {
+        let Some(server) = self.servers.get_mut(at).and_then(Option::as_mut) else { return };
+        let waiting = std::mem::take(&mut server.asked);
+        let Some(report) = report else { return };
+        self.report(at, Some(report));
+        self.asking_takes.add(elapsed_ms, GAIN);
+        if self.asking_takes.seen >= 1.0 / GAIN && self.asking_takes.mean > ASK_PART * self.aim {
+            self.probing = false; // Its probes wait as requests do: they tell too late.
+        }
+        for id in waiting {
+            let Some(mut held) = self.held.remove(&id) else { continue };
+            let due = |a: &Attempt| a.expected.max(ASK_PART * self.aim);
+            let late = |a: &Attempt| a.open && a.server == at && self.now - a.sent_at >= due(a);
+            let overdue = held.attempts.iter().position(late).filter(|_| self.settings.cancel);
+            if held.asked.contains(&at) {
+                held.heard.push(at);
+                if held.heard.len() == held.asked.len() {
+                    self.place(id, held);
+                    continue;
+                }
+            } else if let Some(attempt) = overdue.filter(|_| !held.answered) {
+                // Guards against answers that are lost, whatever the cause: it holds nothing, so it will not
+                // answer any more, and the connection it came by may be dead.
+                if report.in_flight.is_some_and(|n| n < 0.5) {
+                    self.actions.push(Action::Cancel { request: id, attempt });
+                    self.actions.push(Action::Close { server: ServerId(at) });
+                } else {
+                    self.set(id, OVERDUE, self.aim * AGAIN);
+                }
+            }
+            self.held.insert(id, held);
+        }
+    }
+
+    /// A request is over, with no attempt out: the next one of its key may run.
+    fn over(&mut self, id: RequestId, key: Option<&str>) {
+        let Some(lane) = key.and_then(|key| self.lanes.get_mut(key)) else { return };
+        let was = lane.queue.front().copied();
+        lane.queue.retain(|waits| *waits != id);
+        let Some(next) = lane.queue.front().copied().filter(|_| was == Some(id)) else { return };
+        let rest = lane.rests_until - self.now;
+        if rest > 0.0 {
+            return self.set(next, TURN, rest);
+        }
+        let held = self.held.remove(&next).expect("waits");
+        self.place(next, held);
+    }
+
+    fn timer(&mut self, id: RequestId, kind: u64) {
+        let Some(held) = self.held.remove(&id) else { return };
+        let lane = held.lane.as_deref().and_then(|key| self.lanes.get(key));
+        let turn = lane.is_some_and(|l| l.queue.front() == Some(&id) && l.rests_until <= self.now);
+        let (unsent, asking) = (held.attempts.is_empty(), !held.asked.is_empty());
+        let overdue = held.attempts.iter().find(|a| a.open).filter(|_| !held.answered && !asking);
+        match kind {
+            WAITED if unsent => return self.leave(id, held),
+            TURN if unsent && !asking && turn => return self.place(id, held),
+            ASKED if asking => return self.place(id, held),
+            OVERDUE => overdue.map(|a| self.ask(a.server, id)),
+            _ => None,
+        };
+        self.held.insert(id, held);
+    }
+
+    /// Guards the budget of further attempts: how many more it allows.
+    fn spare_resends(&mut self) -> f64 {
+        let since = self.now - self.budget.span_ms;
+        let allowed = self.budget.free + self.budget.per_request * self.taken.after(since + EDGE_MS);
+        allowed - self.resent.after(since - EDGE_MS)
+    }
+
+    /// Guards against overload, in which work that ends too late crowds out work in time: a request is
+    /// taken only while its answer is expected within its aim, the less it is worth the sooner not.
+    fn worthwhile(&self, held: &Held) -> f64 {
+        if self.all.latency.seen == 0.0 {
+            return f64::INFINITY; // A node that has heard no answer yet knows nothing to refuse by.
+        }
+        let density = |k: usize| self.settings.classes[k].worth / self.classes[k].mean;
+        let own = density(held.class);
+        let best = (0..self.classes.len()).map(density).fold(0.0, f64::max);
+        let worth = if best > 0.0 { own / best } else { 1.0 };
+        let part = AIM_PART[usize::from(self.probing)] * (LEAST_AIM + (1.0 - LEAST_AIM) * worth);
+        if self.probing {
+            let aim = held.taken_at + self.settings.classes[held.class].aim_ms;
+            return (aim.min(held.gives_up_at) - self.now) * part;
+        }
+        // A distant aim must not let low worth fill the queues in which worthier classes would be late.
+        let worthier = (0..self.classes.len()).filter(|k| *k == held.class || density(*k) > own);
+        let aim = |k: usize| self.settings.classes[k].aim_ms / self.classes[k].mean;
+        worthier.map(aim).fold(held.gives_up_at - self.now, f64::min) * part
+    }
+
+    fn send(&mut self, id: RequestId, held: &mut Held, at: usize) {
+        let server = self.servers[at].as_mut().expect("picked");
+        // Guards against idle connections that are dropped unseen. A few are used, to see when that ends.
+        let mut idle = server.met && server.out == 0 && self.now - server.used_at > self.aim;
+        if idle && self.lost[1].mean > self.lost[0].mean + LOST_MORE && self.random.f64() > GAIN {
+            self.actions.push(Action::Close { server: ServerId(at) });
+            idle = false;
+        }
+        server.used_at = self.now;
+        server.out += 1;
+        server.count = server.count.map(|count| count + 1.0);
+        if server.entry.started_at.is_some_and(|at| self.now - at < self.settings.cold_ms) {
+            server.cold_sends.push(self.now);
+        }
+        if !held.attempts.is_empty() {
+            self.resent.push(self.now);
+        }
+        let depth = server.count.filter(|_| self.probing).unwrap_or(server.out as f64);
+        held.asked.clear();
+        // What an answer takes where so many requests are, by what all servers have shown.
+        let deep = if self.probing { depth / self.all.depth.mean.max(1.0) } else { 1.0 };
+        let expected = self.all.latency.mean * deep;
+        held.attempts.push(Attempt { server: at, sent_at: self.now, depth, expected, idle, open: true });
+        held.ran = held.ran.or(Some(held.attempts.len() - 1));
+        self.actions.push(Action::Send { request: id, server: ServerId(at) });
+        if self.probing && self.settings.cancel && expected > 0.0 && self.may_repeat(held) {
+            let usual = self.classes[held.class];
+            self.set(id, OVERDUE, (usual.mean + usual.deviation) * expected);
+        }
+    }
+
+    fn outcome(&mut self, outcome: &Outcome) {
+        let (id, tried) = (outcome.request, outcome.attempt);
+        let Some(mut held) = self.held.remove(&id) else { return };
+        if !held.attempts.get(tried).is_some_and(|a| a.open) {
+            self.held.insert(id, held);
+            return;
+        }
+        held.attempts[tried].open = false;
+        self.report(held.attempts[tried].server, outcome.report);
+        self.judge(&held, &held.attempts[tried], outcome);
+        if held.ran == Some(tried) && !outcome.ending.may_have_run() {
+            held.ran = None;
+        }
+        let may_run = matches!(outcome.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled);
+        if let Some(lane) = held.lane.as_deref().filter(|_| may_run).and_then(|key| self.lanes.get_mut(key)) {
+            lane.rests_until = self.now + self.settings.key_quiet_ms;
+        }
+        held.answered |= outcome.complete;
+        self.place(id, held);
+    }
+
+    /// Guards against answers after the client's time: what remains must do for asking and for the answer.
+    fn too_late(&self, held: &Held) -> bool {
+        let asking = if self.probing { 3.0 * ASK_PART * self.aim } else { 0.0 };
+        self.now + asking >= held.gives_up_at
+    }
+
+    /// Whether its class and what has been tried allow an attempt, once none is out.
+    fn may_repeat(&self, held: &Held) -> bool {
+        let first = held.ran.map(|i| held.attempts[i].sent_at);
+        let allowed = match (first, self.settings.classes[held.class].effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (Some(sent), Effect::Keyed { window_ms, .. }) => self.now - sent < window_ms * WINDOW_PART,
+            (Some(_), Effect::Unsafe) => false,
+        };
+        allowed && held.attempts.len() < self.settings.max_attempts
+    }
+
+    /// Gives the final answer, if one is owed and no attempt is out: a refusal only where it promises nothing
+    /// false. Then the next request of the key may run.
+    fn leave(&mut self, request: RequestId, mut held: Held) {
+        held.asked.clear();
+        if held.attempts.iter().any(|a| a.open) {
+            self.held.insert(request, held);
+            return;
+        }
+        let harmless = held.ran.is_none() || self.settings.classes[held.class].effect.may_be_refused();
+        match (held.answered, harmless) {
+            (true, _) => {}
+            (false, true) => self.actions.push(Action::Refuse { request }),
+            (false, false) => self.actions.push(Action::Fail { request }),
+        }
+        self.over(request, held.lane.as_deref());
+    }
+
+    fn client_gone(&mut self, request: RequestId) {
+        let Some(mut held) = self.held.remove(&request) else { return };
+        held.answered = true;
+        if self.settings.cancel {
+            let open = held.attempts.iter().enumerate().filter(|(_, a)| a.open);
+            self.actions.extend(open.map(|(attempt, _)| Action::Cancel { request, attempt }));
+        }
+        self.leave(request, held);
+    }
+
+    fn judge(&mut self, held: &Held, attempt: &Attempt, outcome: &Outcome) {
+        // No answer takes no time: what others take is measured in it.
+        let (at, depth, elapsed) = (attempt.server, attempt.depth, outcome.elapsed_ms.max(0.001));
+        let (now, half_life, class, whom) = (self.now, self.half_life, held.class, held.whom);
+        let (usual, expected) = (self.classes[class], attempt.expected);
+        let server = self.servers[at].as_mut().expect("sent to");
+        server.out = server.out.saturating_sub(1);
+        server.used_at = now;
+        if !held.answered {
+            let lost = matches!(outcome.ending, Ending::TimedOut | Ending::Cancelled);
+            self.lost[usize::from(attempt.idle)].add(f64::from(u8::from(lost)), GAIN);
+        }
+        let failed = match outcome.ending {
+            Ending::Served => false,
+            // A time-out shorter than an answer may ordinarily take says nothing of the server.
+            Ending::TimedOut => elapsed >= (usual.mean + DEVIATIONS * usual.deviation) * expected,
+            Ending::Error | Ending::Unreachable | Ending::Reset => true,
+            Ending::Full => {
+                server.full_for.retain(|f| f.0 != whom);
+                server.full_for.push((whom, now + EJECT * self.aim));
+                false
+            }
+            Ending::Cancelled | Ending::NotSent => return,
+        };
+        // Where counts are fresh a time-out tells of the answer, not of the load.
+        let late = outcome.ending == Ending::TimedOut && !self.probing;
+        if outcome.ending == Ending::Served || late {
+            self.all.add(now, MEMORY * self.aim, elapsed, depth, GAIN / 4.0);
+            let ratio = if expected > 0.0 { elapsed / expected } else { 1.0 };
+            self.classes[class].add(ratio, GAIN / 4.0);
+            server.pace.add(now, half_life, elapsed / usual.mean, depth, GAIN);
+            if let Some(kind) = self.kinds.get_mut(server.entry.kind) {
+                kind.add(now, half_life, elapsed / usual.mean, depth, GAIN / 4.0);
+            }
+        }
+        server.met = !matches!(outcome.ending, Ending::Unreachable | Ending::Reset);
+        if outcome.ending == Ending::Served {
+            self.served.push(now);
+            if server.ejected_until.take().is_some() {
+                self.actions.push(Action::Note(format!("server {at} is back")));
+            }
+        } else if failed && server.ejected_until.is_none_or(|until| until <= now) {
+            // Guards against servers that fail quickly, hang or cannot be reached: counts alone favour them.
+            if server.ejected_until.replace(now + EJECT * self.aim).is_none() {
+                self.actions.push(Action::Note(format!("server {at} is taken out")));
+            }
+        }
+    }
+}
+
+/// Leaves those that fit, if there are any.
+fn prefer(candidates: &mut Vec<Candidate>, fits: impl Fn(&Candidate) -> bool) {
+    if candidates.iter().any(&fits) {
+        candidates.retain(fits);
+    }
+}
--- /dev/null
+++ b/tests/hsq.rs
@@ -0,0 +1,255 @@
+//! The claims of HSQ one by one, and what guards its ordinary path.
+
+mod common;
+use common::*;
+
+use canvasferry::*;
+
+/// Settings whose aim is so far off that nothing is refused.
+fn patient() -> Settings {
+    Settings::new(vec![Class::new(40_000.0, 80_000.0, Effect::Safe)])
+}
+
+/// Each of the first sends goes to a server that has had none yet: every own send counts one.
+#[test]
+fn own_sends_raise_the_count() {
+    let mut node = Node::new(patient(), 1);
+    node.servers(ready(0..5));
+    for round in 0..3 {
+        let mut seen: Vec<usize> = (0..5).map(|i| node.sent_to(round * 5 + i)).collect();
+        seen.sort_unstable();
+        assert_eq!(seen, [0, 1, 2, 3, 4], "round {round}");
+    }
+}
+
+#[test]
+fn ties_are_drawn_afresh() {
+    let mut first = [0; 4];
+    for seed in 0..400 {
+        let mut node = Node::new(patient(), seed);
+        node.servers(ready(0..4));
+        first[node.sent_to(1)] += 1;
+    }
+    assert!(first.iter().all(|n| (60..140).contains(n)), "{first:?}");
+}
+
+#[test]
+fn the_same_seed_and_events_give_the_same_actions() {
+    let run = || {
+        let mut node = Node::new(patient(), 9);
+        node.servers(ready(0..7));
+        (0..20).map(|id| node.sent_to(id)).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
+
+/// Answers all alike, so that every server is learned to be of one size.
+fn warmed(servers: usize, settings: Settings) -> Node {
+    let mut node = Node::new(settings, 3);
+    node.servers(ready(0..servers));
+    for id in 10_000..10_000 + 20 * servers as u64 {
+        node.now += 10.0;
+        node.sent_to(id);
+        node.now += 40.0;
+        node.report(id, 0, 40.0, Ending::Served, Some(0.0));
+    }
+    node.now += 5_000.0;
+    node
+}
+
+#[test]
+fn a_fresh_report_overwrites_its_own_count_alone() {
+    let mut node = warmed(3, patient());
+    // One attempt is put on each server; server by server its answer reports another load.
+    let at: Vec<usize> = (0..3).map(|id| node.sent_to(id)).collect();
+    for (id, held) in [(0, 9.0), (1, 2.0), (2, 9.0)] {
+        node.now += 40.0;
+        node.report(id, 0, 40.0, Ending::Served, Some(held));
+    }
+    // The second now stands 7 under the others: it gets the next sends, as far as it is not backed up.
+    assert_eq!(node.sent_to(100), at[1]);
+    assert_eq!(node.sent_to(101), at[1]);
+}
+
+#[test]
+fn completions_do_not_lower_a_count() {
+    let mut node = Node::new(patient(), 1);
+    node.servers(ready(0..2));
+    let first = node.sent_to(1);
+    node.now += 40.0;
+    // It takes what is expected of unknown servers, a quarter of the aim: they stay of one size.
+    node.end(1, 0, 10_000.0, Ending::Served);
+    // Without a report the answered send still counts, so the other server is next.
+    assert_ne!(node.sent_to(2), first);
+}
+
+#[test]
+fn failures_leave_the_counts_alone() {
+    for ending in [Ending::Error, Ending::Full, Ending::Unreachable, Ending::Reset] {
+        let mut settings = patient();
+        settings.max_attempts = 1;
+        let mut node = warmed(2, settings);
+        let first = node.sent_to(1);
+        node.now += 40.0;
+        node.end(1, 0, 40.0, ending);
+        assert_ne!(node.sent_to(2), first, "{ending:?} gave the send back");
+    }
+}
+
+/// Readings of both servers that change with every second answer teach the usual interval.
+fn teach_interval(node: &mut Node) {
+    let mut answers = [0; 2];
+    for id in 500..560 {
+        let at = node.sent_to(id);
+        answers[at] += 1;
+        node.now += 100.0;
+        node.report(id, 0, 40.0, Ending::Served, Some((1 + answers[at] / 2 % 2) as f64));
+    }
+}
+
+/// Guards against answers that repeat one reading of the report: a repeat is no news.
+#[test]
+fn a_repeated_reading_does_not_erase_own_sends() {
+    let mut node = warmed(2, patient());
+    teach_interval(&mut node);
+    // One answer from each, both of them news and alike: the counts are even and nothing is out.
+    let mut out = [None; 2];
+    for id in 1..100 {
+        match &mut out[node.sent_to(id)] {
+            first @ None => *first = Some(id),
+            Some(_) => drop(node.end(id, 0, 80.0, Ending::Served)),
+        }
+    }
+    node.now += 10_000.0;
+    for id in out {
+        node.report(id.expect("both were sent to"), 0, 40.0, Ending::Served, Some(5.0));
+    }
+    let sends: Vec<usize> = (100..102).map(|id| node.sent_to(id)).collect();
+    assert_ne!(sends[0], sends[1]);
+    // One repeats its 5 at once; were that taken for news, its own send would be forgotten and it
+    // would get the next two.
+    let repeating = sends[0];
+    node.now += 1.0;
+    node.report(100, 0, 40.0, Ending::Served, Some(5.0));
+    let next: Vec<usize> = (200..202).map(|id| node.sent_to(id)).collect();
+    assert!(next != [repeating, repeating], "the repeat erased an own send");
+}
+
+/// An idle server's report stays the same: past the usual interval it is fresh all the same.
+#[test]
+fn an_old_reading_repeated_late_is_fresh() {
+    let mut node = warmed(2, patient());
+    teach_interval(&mut node);
+    let mut out = [Vec::new(), Vec::new()];
+    for id in 1..13 {
+        out[node.sent_to(id)].push(id);
+    }
+    node.now += 10_000.0;
+    // Every answer takes 40 ms for each request its server held, so that both stay of one size.
+    for (ids, reading) in out.iter().zip([0.0, 6.0]) {
+        for (id, held) in ids.iter().zip(1..) {
+            let report = (held == ids.len()).then_some(reading);
+            node.report(*id, 0, 40.0 * held as f64, Ending::Served, report);
+        }
+    }
+    for id in 20..24 {
+        assert_eq!(node.sent_to(id), 0, "send {id}");
+        node.end(id, 0, 40.0, Ending::Served);
+    }
+    node.now += 10_000.0;
+    node.sent_to(30);
+    node.report(30, 0, 40.0, Ending::Served, Some(0.0));
+    for id in 40..44 {
+        assert_eq!(node.sent_to(id), 0, "the second 0 was no news");
+        node.end(id, 0, 40.0, Ending::Served);
+    }
+}
+
+#[test]
+fn a_server_without_a_report_starts_at_the_mean_of_the_others() {
+    let mut node = warmed(2, patient());
+    let at: Vec<usize> = (0..2).map(|id| node.sent_to(id)).collect();
+    node.now += 40.0;
+    node.report(0, 0, 40.0, Ending::Served, Some(1.0));
+    node.report(1, 0, 40.0, Ending::Served, Some(9.0));
+    node.servers(ready(0..3));
+    // Counts are 1, 9 and, new, their mean 5: the low one first, four times, as nothing backs up.
+    for id in 100..104 {
+        assert_eq!(node.sent_to(id), at[0], "the new server was taken for idle");
+        node.end(id, 0, 40.0, Ending::Served);
+    }
+}
+
+#[test]
+fn equal_servers_are_ranked_by_count_alone() {
+    let mut node = warmed(4, patient());
+    let mut seen: Vec<usize> = (0..4).map(|id| node.sent_to(id)).collect();
+    seen.sort_unstable();
+    assert_eq!(seen, [0, 1, 2, 3]);
+}
+
+/// Guards against sending alike to unlike servers: a slower one gets less.
+#[test]
+fn a_slower_server_is_sent_less() {
+    let mut sent = [0; 2];
+    for seed in 0..12 {
+        let mut node = Node::new(patient(), seed);
+        node.servers(ready(0..2));
+        for id in 0..300 {
+            let at = node.sent_to(id);
+            sent[at] += 1;
+            let elapsed = if at == 0 { 30.0 } else { 90.0 };
+            node.now += elapsed;
+            node.report(id, 0, elapsed, Ending::Served, (id < 2).then_some(1.0));
+        }
+    }
+    assert!(sent[0] > sent[1] * 3 / 2, "{sent:?}");
+}
+
+#[test]
+fn the_policy_keeps_its_size() {
+    let text = include_str!("../src/choice.rs");
+    let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
+    assert!(lines <= 610, "{lines} lines");
+    let widest = text.lines().map(|l| l.chars().count()).max().expect("lines");
+    assert!(widest <= 110, "a line of {widest} characters");
+}
+
+/// Near servers take what comes until the best of them is backed up; then the far ones are counted too.
+#[test]
+fn near_servers_come_first_while_not_backed_up() {
+    let mut settings = patient();
+    settings.zone = 1;
+    let mut node = Node::new(settings, 4);
+    let mut entries = ready(0..4);
+    entries[2].zone = 1;
+    entries[3].zone = 1;
+    node.servers(entries);
+    let sent: Vec<usize> = (0..4).map(|id| node.sent_to(id)).collect();
+    assert!(sent.iter().all(|at| *at >= 2), "no more than twice what a far one would take: {sent:?}");
+    let sent: Vec<usize> = (4..8).map(|id| node.sent_to(id)).collect();
+    assert!(sent.iter().any(|at| *at < 2), "then the far ones: {sent:?}");
+}
+
+/// A zone of which nothing is healthy is left, however near.
+#[test]
+fn near_servers_that_fail_are_left_for_far_ones() {
+    let mut settings = patient();
+    settings.zone = 1;
+    let mut node = Node::new(settings, 4);
+    let mut entries = ready(0..3);
+    entries[2].zone = 1;
+    node.servers(entries);
+    for id in 0..3 {
+        assert!(id > 0 || node.sent_to(id) == 2);
+        if id > 0 {
+            assert!(node.sent_to(id) < 2, "it is taken out");
+            continue;
+        }
+        node.now += 1.0;
+        let further = node.end(id, 0, 1.0, Ending::Unreachable);
+        assert!(send_of(&further).is_some_and(|at| at < 2), "{further:?}");
+        node.end(id, 1, 20.0, Ending::Served);
+    }
+    assert!(node.sent_to(3) < 2);
+}
