--- a/src/bin/canvasferry-simhost.rs
+++ b/src/bin/silverthread-benchlink.rs
@@ -5,8 +5,8 @@
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use canvasferry::wire::{one_line, Dialect, Line, Member, WireError};
-use canvasferry::{Action, Balancer};
+use silverthread::wire::{one_line, Dialect, Line, Member, WireError};
+use silverthread::{Action, Balancer};
 
 /// One instance: its balancer and the names only it has been told.
 struct Instance {
@@ -15,7 +15,7 @@
 }
 
 #[derive(Default)]
-struct SimHost {
+struct BenchLink {
     now: f64,
     instances: BTreeMap<String, Instance>,
     lists: [Option<Vec<Member>>; 16],
@@ -31,7 +31,7 @@
     EndOfBatch,
 }
 
-impl SimHost {
+impl BenchLink {
     fn line(&mut self, text: &str) -> Result<Step, WireError> {
         if let Some((number, due, mut members)) = self.reading.take() {
             members.push(Member::parse(text)?);
@@ -106,14 +106,14 @@
 
     fn note(&mut self, what: &str, why: &str) {
         if self.passed_over.insert(what.to_owned()) {
-            eprintln!("canvasferry-simhost: {why}: {}", one_line(what));
+            eprintln!("silverthread-benchlink: {why}: {}", one_line(what));
         }
     }
 }
 
 fn main() -> ExitCode {
     let (mut input, mut output) = (io::stdin().lock(), io::stdout().lock());
-    let mut host = SimHost::default();
+    let mut host = BenchLink::default();
     let (mut text, mut number) = (String::new(), 0_u64);
     loop {
         text.clear();
@@ -122,7 +122,7 @@
             Ok(0) => return ExitCode::SUCCESS,
             Ok(_) => {}
             Err(error) => {
-                eprintln!("canvasferry-simhost: line {number}: {error}");
+                eprintln!("silverthread-benchlink: line {number}: {error}");
                 return ExitCode::FAILURE;
             }
         }
@@ -134,14 +134,14 @@
             Ok(Step::EndOfBatch) => {
                 let written = output.write_all(host.reply.as_bytes()).and_then(|()| output.flush());
                 if let Err(error) = written {
-                    eprintln!("canvasferry-simhost: line {number}: cannot reply: {error}");
+                    eprintln!("silverthread-benchlink: line {number}: cannot reply: {error}");
                     return ExitCode::FAILURE;
                 }
                 host.reply.clear();
             }
             Err(error) => {
                 let message = line.split(' ').next().unwrap_or_default();
-                eprintln!("canvasferry-simhost: line {number}: {message}: {error}");
+                eprintln!("silverthread-benchlink: line {number}: {message}: {error}");
                 return ExitCode::FAILURE;
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //! A node's event loop calls [`Balancer::handle`] and carries out what it is told:
 //!
 //! ```
-//! use canvasferry::{
+//! use silverthread::{
 //!     Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request,
 //!     RequestId, ServerEntry, ServerId, Settings,
 //! };
@@ -40,7 +40,7 @@
 //! };
 //! balancer.handle(19.5, Event::Outcome(outcome), &mut actions);
 //! # let _ = server;
-//! # Ok::<(), canvasferry::SettingsError>(())
+//! # Ok::<(), silverthread::SettingsError>(())
 //! ```
 
 mod choice;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests of the module share: short ways to build events, and to feed a balancer.
 #![allow(dead_code)]
 
-use canvasferry::*;
+use silverthread::*;
 
 pub struct Node {
     pub balancer: Balancer,
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 
-use canvasferry::*;
+use silverthread::*;
 
 /// Settings under which servers are asked for their load before each send.
 fn asking(effect: Effect) -> Settings {
--- a/tests/hsq.rs
+++ b/tests/hsq.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 
-use canvasferry::*;
+use silverthread::*;
 
 /// Settings whose aim is so far off that nothing is refused.
 fn patient() -> Settings {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use canvasferry::*;
+use silverthread::*;
 
 // ---- Edges
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -5,8 +5,8 @@
 
 const BOOT: &str = r#"BOOT node=node-1 seed=7 facts={"classes": [{"deadline_ms": 800.0, "promise_ms": 400.0, "effect": "retryable", "name": "a"}], "n_instances": 1, "stats": {"fields": ["waiting", "active"], "source": "inline"}}"#;
 
-fn simhost(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_canvasferry-simhost"))
+fn benchlink(input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_silverthread-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -23,7 +23,7 @@
 
 #[test]
 fn an_empty_batch_is_answered() {
-    let output = simhost("CLOCK wall_ms=1.0\nEOB\n");
+    let output = benchlink("CLOCK wall_ms=1.0\nEOB\n");
     assert!(output.status.success());
     assert_eq!(text(&output.stdout), "NEXT\n");
 }
@@ -36,7 +36,7 @@
          CLOCK wall_ms=2.0\nCALL node=node-1 txn=5 grade=0 budget_ms=800.0\nEOB\n\n\
          CLOCK wall_ms=9.0\nENDED node=node-1 txn=5 rtt_ms=7.0 server=10.0.0.1:80 try=0 complete=1 ending=S\nEOB\n"
     );
-    let output = simhost(&input);
+    let output = benchlink(&input);
     assert!(output.status.success());
     assert_eq!(text(&output.stdout), "NEXT\nPLACE node=node-1 txn=5 server=10.0.0.1:80\nNEXT\nNEXT\n");
 }
@@ -65,7 +65,7 @@
          CLOCK wall_ms=2010.0\nACK_FIRST node=node-1 txn=5 try=0 server=10.0.0.1:80 rtt_ms=10.0\n\
          HANGUP node=node-1 txn=6\nTEARDOWN node=node-1\nEOB\n"
     );
-    let output = simhost(&input);
+    let output = benchlink(&input);
     assert!(output.status.success());
     let replies: Vec<&str> = text(&output.stdout).split("NEXT\n").collect();
     assert_eq!(replies[0], "TRACK node=node-1 want=1\n");
@@ -86,7 +86,7 @@
         "CLOCK wall_ms=1.0\n{BOOT}\nCENSUS roster_id=3 hosts=0\nREGISTRY node=node-1 mode=2 roster_id=3 epoch=1\n\
          CALL node=node-1 txn=5 grade=0 budget_ms=800.0\nEOB\n"
     );
-    assert_eq!(text(&simhost(&input).stdout), "PUSH_BACK node=node-1 txn=5\nNEXT\n");
+    assert_eq!(text(&benchlink(&input).stdout), "PUSH_BACK node=node-1 txn=5\nNEXT\n");
 }
 
 /// A list number is resolved where the event stands, not where the batch ends.
@@ -101,7 +101,7 @@
          CALL node=node-1 txn=5 grade=0 budget_ms=800.0\nCALL node=node-2 txn=6 grade=0 budget_ms=800.0\nEOB\n"
     );
     assert_eq!(
-        text(&simhost(&input).stdout),
+        text(&benchlink(&input).stdout),
         "PLACE node=node-1 txn=5 server=10.0.0.1:80\nPLACE node=node-2 txn=6 server=10.0.0.2:80\nNEXT\n"
     );
 }
@@ -136,7 +136,7 @@
             }
             input += "EOB\n\n";
         }
-        text(&simhost(&input).stdout).to_owned()
+        text(&benchlink(&input).stdout).to_owned()
     };
     let of = |all: &str, n: u32| -> Vec<String> {
         let name = format!("node=node-{n} ");
@@ -173,7 +173,7 @@
     for (line, message) in cases {
         let input = format!("{}CLOCK wall_ms=2.0\n{line}\nEOB\n", started());
         let number = started().lines().count() + 1 + line.lines().count();
-        let output = simhost(&input);
+        let output = benchlink(&input);
         let said = text(&output.stderr);
         assert!(!output.status.success(), "{line}");
         assert_eq!(text(&output.stdout), "NEXT\n", "{line}");
@@ -189,7 +189,7 @@
          CALL node=node-1 txn=5 grade=0 budget_ms=800.0 colour=red\nEOB\n",
         started()
     );
-    let output = simhost(&input);
+    let output = benchlink(&input);
     assert!(output.status.success());
     assert!(text(&output.stdout).starts_with("NEXT\nPLACE node=node-1 txn=5 server="));
     assert_eq!(text(&output.stderr).lines().count(), 1, "one note on a kind of message");
@@ -197,8 +197,10 @@
 
 #[test]
 fn the_end_of_input_within_a_batch_is_a_clean_exit() {
-    let output =
-        simhost(&format!("{}CLOCK wall_ms=2.0\nCALL node=node-1 txn=5 grade=0 budget_ms=800.0\n", started()));
+    let output = benchlink(&format!(
+        "{}CLOCK wall_ms=2.0\nCALL node=node-1 txn=5 grade=0 budget_ms=800.0\n",
+        started()
+    ));
     assert!(output.status.success());
     assert_eq!(text(&output.stdout), "NEXT\n", "nothing is answered for an unfinished batch");
 }
@@ -211,7 +213,7 @@
         "CLOCK wall_ms=1.0\n{boot}\n{LIST}CALL node=node-1 txn=5 grade=0 budget_ms=800.0\nEOB\n\n\
          CLOCK wall_ms=9.0\nENDED node=node-1 txn=5 rtt_ms=7.0 try=0 complete=0 ending=E\nEOB\n"
     );
-    let output = simhost(&input);
+    let output = benchlink(&input);
     assert!(output.status.success());
     let failed = "REPORT_FAILURE node=node-1 txn=5\nNEXT\n";
     assert!(text(&output.stdout).ends_with(failed), "{}", text(&output.stdout));
@@ -234,7 +236,7 @@
          CLOCK wall_ms=143.0\nFIRED node=node-1 nonce={}\nEOB\n\nCLOCK wall_ms=144.0\n{health}EOB\n",
         (6 << 3) | 4
     );
-    let output = simhost(&input);
+    let output = benchlink(&input);
     let replies: Vec<&str> = text(&output.stdout).split("NEXT\n").collect();
     assert!(replies[0].starts_with("SOUND_OUT node=node-1 server=10.0.0.1:80\nSCHEDULE "), "{}", replies[0]);
     assert!(replies[1].starts_with("PLACE node=node-1 txn=5 server=10.0.0.1:80\n"), "{}", replies[1]);
