--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 
 mod choice;
 mod interface;
+pub mod net;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/net/clients.rs
@@ -0,0 +1,254 @@
+//! The clients' side: connections, what their requests mean, and the final answers.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+
+use super::driver::{Answer, Driver};
+use super::log;
+use super::servers::{Message, MOST_BODY};
+use crate::Effect;
+
+/// The most of a message's head that is read, and of a body that is read at a time.
+const BUFFER: usize = 32 * 1024;
+/// How long a client may take to send a request's head, or to begin another on its connection.
+const HEAD_TIME: Duration = Duration::from_secs(60);
+/// Wait after a connection could not be accepted, for want of descriptors say.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
+
+const REQ_ID: HeaderName = HeaderName::from_static("req-id");
+const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
+const REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
+const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Headers that concern one connection alone, or that are written anew for the next.
+const OF_CONNECTION: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// How far a node is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It is told to stop: new connections still come and are served, each answer ends its connection.
+    HandOver,
+    /// No more connections are taken, and those between requests are closed.
+    Closing,
+}
+
+/// Serves clients until the phase is [`Phase::Closing`] and all that was taken is answered.
+pub async fn serve(listener: TcpListener, driver: Rc<Driver>, phases: watch::Receiver<Phase>, most: usize) {
+    let places = std::sync::Arc::new(Semaphore::new(most));
+    let mut closing = phases.clone();
+    let closing = closing.wait_for(|phase| *phase == Phase::Closing);
+    let mut closing = pin!(closing);
+    loop {
+        let accepted = async {
+            // Guards the limit on descriptors: what is beyond waits in the system's queue.
+            let place = std::sync::Arc::clone(&places).acquire_owned().await;
+            (listener.accept().await, place)
+        };
+        let (accepted, place) = tokio::select! {
+            biased;
+            accepted = accepted => accepted,
+            _ = &mut closing => break,
+        };
+        match (accepted, place) {
+            (Ok((stream, _)), Ok(place)) => {
+                tokio::task::spawn_local(connection(stream, Rc::clone(&driver), phases.clone(), place));
+            }
+            (Err(error), _) => {
+                log::line(format_args!("cannot accept a connection: {error}"));
+                tokio::time::sleep(ACCEPT_AGAIN).await;
+            }
+            (_, Err(_)) => break,
+        }
+    }
+    drop(listener);
+    // Every connection holds a place until it ends.
+    let all = u32::try_from(most).unwrap_or(u32::MAX);
+    let _ = places.acquire_many(all).await;
+}
+
+async fn connection(
+    stream: TcpStream,
+    driver: Rc<Driver>,
+    mut phases: watch::Receiver<Phase>,
+    _place: OwnedSemaphorePermit,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        return log::line(format_args!("cannot set up a connection: {error}"));
+    }
+    let phase = phases.clone();
+    let service = service_fn(|request| {
+        let (driver, phase) = (Rc::clone(&driver), phase.clone());
+        async move {
+            let mut response = respond(request, &driver).await;
+            if *phase.borrow() != Phase::Serving {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .max_buf_size(BUFFER)
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        if error.is_parse() {
+            log::line(format_args!("a client's message is malformed: {error}"));
+        }
+    }
+}
+
+async fn respond(request: Request<Incoming>, driver: &Rc<Driver>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        "/up" if request.method() == Method::GET => plain(StatusCode::OK, ""),
+        "/up" => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
+        "/api" => api(request, driver).await.unwrap_or_else(|(status, why)| plain(status, why)),
+        _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+type Rejection = (StatusCode, &'static str);
+
+fn bad(why: &'static str) -> Rejection {
+    (StatusCode::BAD_REQUEST, why)
+}
+
+async fn api(request: Request<Incoming>, driver: &Rc<Driver>) -> Result<Response<Full<Bytes>>, Rejection> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let meaning = Meaning::read(&head.method, &head.headers, driver)?;
+    let key = head.uri.query().and_then(key_of);
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
+    }
+    let body = match Limited::new(body, MOST_BODY).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"))
+        }
+        Err(_) => return Err(bad("the body is malformed\n")),
+    };
+    let headers = end_to_end(head.headers);
+    let message = Message { method: head.method, uri: head.uri, headers, body };
+    let Some(taken) = driver.take(meaning.class, meaning.tenant, key, message, arrived, meaning.time) else {
+        return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, ""));
+    };
+    Ok(match taken.answer().await {
+        Answer::Served(served) => {
+            let mut response = Response::new(Full::new(served.body));
+            if let Some(content_type) = served.content_type {
+                response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+            }
+            response
+        }
+        Answer::Refused => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY, ""),
+    })
+}
+
+/// What a request's headers say.
+struct Meaning {
+    class: usize,
+    tenant: usize,
+    time: Duration,
+}
+
+impl Meaning {
+    fn read(method: &Method, headers: &HeaderMap, driver: &Driver) -> Result<Self, Rejection> {
+        let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+        let names = &driver.names;
+        text(REQ_ID).filter(|id| !id.is_empty()).ok_or(bad("Req-Id is missing\n"))?;
+        let class = text(REQ_KIND).and_then(|kind| names.classes.get(kind));
+        let class = class.ok_or(bad("Req-Kind is missing or unknown\n"))?;
+        let tenant = match text(REQ_OWNER) {
+            Some(owner) if !names.tenants.is_empty() => {
+                names.tenants.get(owner).ok_or(bad("Req-Owner is unknown\n"))?
+            }
+            _ => 0,
+        };
+        let time = text(REQ_DEADLINE).and_then(read_time).ok_or(bad("Req-Deadline is missing or bad\n"))?;
+        let (effect, longest) = names.rules[class];
+        let keyed = headers.contains_key(IDEMPOTENCY_KEY);
+        let (right, has_key) = match effect {
+            Effect::Safe => (Method::GET, false),
+            Effect::Keyed { .. } => (Method::POST, true),
+            Effect::Unsafe => (Method::POST, false),
+        };
+        if *method != right || keyed != has_key {
+            return Err(bad("the method or Idempotency-Key is not the one of its Req-Kind\n"));
+        }
+        Ok(Self { class, tenant, time: time.min(longest) })
+    }
+}
+
+/// A time as `Req-Deadline` has it: `480m` is in milliseconds, `480000u` in microseconds.
+fn read_time(text: &str) -> Option<Duration> {
+    let (number, unit) = text.trim().split_at_checked(text.trim().len().checked_sub(1)?)?;
+    let number = number.parse::<f64>().ok().filter(|n| *n > 0.0)?;
+    let seconds = match unit {
+        "m" => number / 1e3,
+        "u" => number / 1e6,
+        _ => return None,
+    };
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+/// The query's `key`.
+fn key_of(query: &str) -> Option<Box<str>> {
+    query.split('&').find_map(|pair| pair.strip_prefix("key=")).map(Into::into)
+}
+
+/// The headers without those of the connection they came on.
+fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != REQ_ID && *name != IDEMPOTENCY_KEY)
+        .collect();
+    for name in OF_CONNECTION.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,229 @@
+//! Follows the list of servers: a watch that is opened again whenever it ends, falls silent or makes no sense.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde_json::Value;
+use tokio::net::TcpStream;
+
+use super::config::HostList;
+use super::driver::Driver;
+use super::log;
+use crate::Availability;
+
+/// An empty line comes every 2 s while nothing changes; a watch that says nothing for this long is dead.
+const SILENCE: Duration = Duration::from_secs(5);
+/// How long a watch may take to be opened.
+const OPENING: Duration = Duration::from_secs(2);
+/// Waits between watches: the first, and the longest.
+const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+/// The longest line.
+const MOST_LINE: usize = 4 << 20;
+
+/// An entry of the list.
+#[derive(Debug, PartialEq)]
+pub struct Host {
+    /// The server's id, the same at every node.
+    pub id: String,
+    /// Where this node reaches it.
+    pub address: Option<SocketAddr>,
+    /// Whether it takes requests.
+    pub availability: Availability,
+    /// Its zone's name.
+    pub zone: String,
+    /// Its machine kind's name.
+    pub kind: String,
+    /// Its cell.
+    pub cell: usize,
+    /// When it last started, in Unix time; 0 for long ago.
+    pub started_at_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Raw {
+    instance_id: String,
+    #[serde(default)]
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: usize,
+    lifecycle: String,
+    #[serde(default)]
+    started_at_ms: f64,
+}
+
+impl Host {
+    /// Reads an entry; one that makes no sense is logged and passed over.
+    #[must_use]
+    pub fn read(value: &Value) -> Option<Self> {
+        let raw = Raw::deserialize(value)
+            .map_err(|error| log::line(format_args!("an entry of the list of servers is malformed: {error}")))
+            .ok()?;
+        let availability = match raw.lifecycle.as_str() {
+            "ready" => Availability::Ready,
+            "draining" => Availability::Draining,
+            "gone" => Availability::Gone,
+            other => {
+                log::line(format_args!("the list of servers has an unknown lifecycle: {other:?}"));
+                return None;
+            }
+        };
+        let address = raw.host_port.parse().ok();
+        if address.is_none() && availability == Availability::Ready {
+            log::line(format_args!("the list of servers has a bad address: {:?}", raw.host_port));
+            return None;
+        }
+        Some(Self {
+            id: raw.instance_id,
+            address,
+            availability,
+            zone: raw.zone,
+            kind: raw.machine_type,
+            cell: raw.cell,
+            started_at_ms: raw.started_at_ms,
+        })
+    }
+}
+
+/// What the lines of a watch are cut from, however they come in pieces.
+#[derive(Debug, Default)]
+pub struct Lines(BytesMut);
+
+impl Lines {
+    /// Takes a piece.
+    pub fn push(&mut self, piece: &[u8]) {
+        self.0.extend_from_slice(piece);
+    }
+
+    /// The next whole line that is not empty.
+    pub fn next_line(&mut self) -> Option<Bytes> {
+        while let Some(end) = self.0.iter().position(|byte| *byte == b'\n') {
+            let line = self.0.split_to(end);
+            self.0.advance(1);
+            if !line.trim_ascii().is_empty() {
+                return Some(line.freeze());
+            }
+        }
+        None
+    }
+}
+
+/// Why a watch ended.
+enum End {
+    /// It could not be opened, broke, ended or fell silent.
+    Lost(String),
+    /// It said what makes no sense: only the whole list can be trusted now.
+    Malformed(String),
+}
+
+impl From<io::Error> for End {
+    fn from(error: io::Error) -> Self {
+        Self::Lost(error.to_string())
+    }
+}
+
+impl From<hyper::Error> for End {
+    fn from(error: hyper::Error) -> Self {
+        Self::Lost(error.to_string())
+    }
+}
+
+/// Follows the list for as long as the node runs. Where changes do not come by themselves, each watch is one
+/// that the balancer asked for, and it hears of its end.
+pub async fn follow(driver: Rc<Driver>, address: SocketAddr, push: bool, mut version: Option<u64>) {
+    let mut wait = BACKOFF[0];
+    loop {
+        if !push {
+            driver.subscribe.notified().await;
+        }
+        let mut heard = false;
+        let Err(end) = watch(&driver, address, &mut version, &mut heard).await;
+        match end {
+            End::Lost(why) => log::line(format_args!("the watch on the list of servers ended: {why}")),
+            End::Malformed(why) => {
+                log::line(format_args!("the watch on the list of servers made no sense: {why}"));
+                version = None;
+            }
+        }
+        if !push {
+            driver.list_failed();
+        }
+        wait = if heard { BACKOFF[0] } else { (wait * 2).min(BACKOFF[1]) };
+        tokio::time::sleep(wait).await;
+    }
+}
+
+/// One watch, from the version held on, or from the whole list.
+async fn watch(
+    driver: &Rc<Driver>,
+    address: SocketAddr,
+    version: &mut Option<u64>,
+    heard: &mut bool,
+) -> Result<std::convert::Infallible, End> {
+    let opened = tokio::time::timeout(OPENING, open(address, *version)).await;
+    let (mut body, _connection) =
+        opened.map_err(|_| End::Lost("it could not be opened in time".into()))??;
+    let mut lines = Lines::default();
+    loop {
+        let frame = tokio::time::timeout(SILENCE, body.frame()).await;
+        let frame = frame.map_err(|_| End::Lost("it fell silent".into()))?;
+        let frame = frame.ok_or_else(|| End::Lost("discovery ended it".into()))??;
+        *heard = true;
+        let Some(piece) = frame.data_ref() else { continue };
+        lines.push(piece);
+        while let Some(line) = lines.next_line() {
+            let list: HostList =
+                serde_json::from_slice(&line).map_err(|error| End::Malformed(error.to_string()))?;
+            driver.list(&list);
+            *version = Some(list.generation);
+        }
+        if lines.0.len() > MOST_LINE {
+            return Err(End::Malformed("a line is too long".into()));
+        }
+    }
+}
+
+/// Ends a connection's task with its owner.
+struct Ends {
+    task: tokio::task::AbortHandle,
+    /// A connection ends with its sender.
+    _sender: http1::SendRequest<Empty<Bytes>>,
+}
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn open(address: SocketAddr, version: Option<u64>) -> Result<(hyper::body::Incoming, Ends), End> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let task = tokio::task::spawn_local(async move {
+        let _ = connection.await; // What breaks here shows in the body.
+    });
+    let from = version.map(|version| format!("&from={version}")).unwrap_or_default();
+    let request = Request::get(format!("/discovery/hosts?watch=1{from}"))
+        .header(HOST, address.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(|error| End::Lost(error.to_string()))?;
+    let answer = sender.send_request(request).await?;
+    if answer.status() != StatusCode::OK {
+        return Err(End::Lost(format!("discovery answered {}", answer.status())));
+    }
+    Ok((answer.into_body(), Ends { task: task.abort_handle(), _sender: sender }))
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,447 @@
+//! The driver: it owns the balancer, brings it every event with its time, and carries out each action.
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::{oneshot, Notify};
+use tokio::task::AbortHandle;
+
+use super::config::{Config, ConfigError, HostList, Names};
+use super::discovery;
+use super::log;
+use super::servers::{Ended, Message, Served, Servers, Slot};
+use crate::wire::WireError;
+use crate::{
+    Action, Balancer, Effect, Ending, Event, Listing, Outcome, Request, RequestId, ServerEntry, ServerId,
+};
+
+/// An answer must reach the client within its time: this much before its end the node stops waiting.
+const MARGIN: Duration = Duration::from_millis(10);
+/// The longest time that a timer is set for.
+const LONGEST_TIMER: Duration = Duration::from_secs(71 * 60);
+/// How often idle connections are looked over.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// A server's own.
+    Served(Served),
+    /// Refused: trying again is harmless.
+    Refused,
+    /// Failed.
+    Failed,
+}
+
+/// The driver's clock: milliseconds since the node's start, which the system's steps do not move.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    start: Instant,
+    start_unix_ms: f64,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), start_unix_ms: unix.as_secs_f64() * 1e3 }
+    }
+
+    fn now_ms(self) -> f64 {
+        self.start.elapsed().as_secs_f64() * 1e3
+    }
+
+    fn of_unix_ms(self, unix_ms: f64) -> f64 {
+        unix_ms - self.start_unix_ms
+    }
+}
+
+/// An attempt that is out.
+struct Out {
+    number: usize,
+    sent: Instant,
+    slot: Rc<Slot>,
+    task: AbortHandle,
+}
+
+/// A request that is owed an answer or has an attempt out.
+struct Open {
+    answer: Option<oneshot::Sender<Answer>>,
+    message: Rc<Message>,
+    deadline: Instant,
+    attempts: usize,
+    out: Option<Out>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Timer(u64),
+    Deadline(u64),
+}
+
+/// Owns the balancer. See the module's page.
+pub struct Driver {
+    balancer: RefCell<Balancer>,
+    clock: Clock,
+    /// The names of the settings.
+    pub names: SettingNames,
+    servers: Servers,
+    numbers: RefCell<HashMap<String, ServerId>>,
+    max_attempts: usize,
+    most_held: usize,
+    next_request: Cell<u64>,
+    open: RefCell<HashMap<u64, Open>>,
+    events: RefCell<VecDeque<Event>>,
+    handling: Cell<bool>,
+    due: RefCell<BinaryHeap<Reverse<(Instant, Due)>>>,
+    earlier: Notify,
+    /// Tells discovery that the balancer asks for the list's changes.
+    pub subscribe: Notify,
+    latest: Cell<Duration>,
+}
+
+/// The names that requests and lists use for what the settings number.
+pub struct SettingNames {
+    /// Classes.
+    pub classes: Names,
+    /// What running a request of each class twice does, and how long its clients wait at the most.
+    pub rules: Vec<(Effect, Duration)>,
+    /// Tenants.
+    pub tenants: Names,
+    /// Zones.
+    pub zones: Names,
+    /// Machine kinds.
+    pub kinds: Names,
+}
+
+impl Driver {
+    /// A driver that knows the list of servers that the configuration names.
+    ///
+    /// # Errors
+    ///
+    /// The module does not take the settings.
+    pub fn start(config: &Config) -> Result<Rc<Self>, ConfigError> {
+        let settings = config.settings.clone();
+        let rules = |c: &crate::Class| (c.effect, Duration::from_secs_f64(c.deadline_ms.min(1e9) / 1e3));
+        let names = SettingNames {
+            classes: config.classes.clone(),
+            rules: settings.classes.iter().map(rules).collect(),
+            tenants: config.tenants.clone(),
+            zones: config.zones.clone(),
+            kinds: config.kinds.clone(),
+        };
+        let max_attempts = settings.max_attempts;
+        let balancer = Balancer::new(settings, config.seed)
+            .map_err(|error| ConfigError::Settings(WireError::other(&error)))?;
+        let driver = Rc::new(Self {
+            balancer: RefCell::new(balancer),
+            clock: Clock::new(),
+            names,
+            servers: Servers::new(config),
+            numbers: RefCell::default(),
+            max_attempts,
+            most_held: config.most_held,
+            next_request: Cell::new(0),
+            open: RefCell::default(),
+            events: RefCell::default(),
+            handling: Cell::new(false),
+            due: RefCell::default(),
+            earlier: Notify::new(),
+            subscribe: Notify::new(),
+            latest: Cell::default(),
+        });
+        driver.listing(&config.known, Listing::Cached);
+        tokio::task::spawn_local(Rc::clone(&driver).wake_up());
+        tokio::task::spawn_local(Rc::clone(&driver).sweep());
+        Ok(driver)
+    }
+
+    /// Takes a list or a change of it.
+    pub fn list(self: &Rc<Self>, list: &HostList) {
+        self.listing(list, if list.reset { Listing::Full } else { Listing::Changes });
+    }
+
+    /// The list could not be had, or its changes come no more.
+    pub fn list_failed(self: &Rc<Self>) {
+        self.feed(Event::Servers(Listing::Failed));
+    }
+
+    fn listing(self: &Rc<Self>, list: &HostList, kind: fn(Vec<ServerEntry>) -> Listing) {
+        let entries: Vec<_> = list.instances.iter().filter_map(discovery::Host::read).collect();
+        if !matches!(kind(Vec::new()), Listing::Changes(_)) {
+            self.close_missing(&entries);
+        }
+        let entries = entries.iter().map(|host| self.entry(host)).collect();
+        self.feed(Event::Servers(kind(entries)));
+    }
+
+    /// A server that a full list does not name is gone.
+    fn close_missing(&self, hosts: &[discovery::Host]) {
+        let listed: Vec<&str> = hosts.iter().map(|host| host.id.as_str()).collect();
+        for (id, number) in self.numbers.borrow().iter() {
+            if !listed.contains(&id.as_str()) {
+                self.servers.leave(*number);
+            }
+        }
+    }
+
+    fn entry(&self, host: &discovery::Host) -> ServerEntry {
+        let mut numbers = self.numbers.borrow_mut();
+        let next = ServerId(numbers.len());
+        let server = *numbers.entry(host.id.clone()).or_insert(next);
+        self.servers.update(server, host);
+        ServerEntry {
+            server,
+            place: crate::wire::spread(&host.id),
+            availability: host.availability,
+            started_at: Some(host.started_at_ms).filter(|t| *t > 0.0).map(|t| self.clock.of_unix_ms(t)),
+            cell: host.cell,
+            zone: self.names.zones.get(&host.zone).unwrap_or(0),
+            kind: self.names.kinds.get(&host.kind).unwrap_or(0),
+        }
+    }
+
+    /// Takes a request that arrived at `arrived`. `None`: the node holds as many as it may.
+    pub fn take(
+        self: &Rc<Self>,
+        class: usize,
+        tenant: usize,
+        item: Option<Box<str>>,
+        message: Message,
+        arrived: Instant,
+        time: Duration,
+    ) -> Option<Taken> {
+        if self.open.borrow().len() >= self.most_held {
+            return None;
+        }
+        let number = self.next_request.get();
+        self.next_request.set(number + 1);
+        let deadline = arrived + time.saturating_sub(MARGIN);
+        let (answer, answered) = oneshot::channel();
+        let message = Rc::new(message);
+        let open = Open { answer: Some(answer), message, deadline, attempts: 0, out: None };
+        self.open.borrow_mut().insert(number, open);
+        self.wake_at(deadline, Due::Deadline(number));
+        let budget_ms = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
+        self.feed(Event::Request(Request { id: RequestId(number), class, tenant, item, budget_ms }));
+        Some(Taken { driver: Rc::clone(self), number, answered })
+    }
+
+    /// Brings an event to the balancer, now or as soon as it is done with the one before.
+    fn feed(self: &Rc<Self>, event: Event) {
+        self.events.borrow_mut().push_back(event);
+        if self.handling.replace(true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        loop {
+            let Some(event) = self.events.borrow_mut().pop_front() else { break };
+            self.balancer.borrow_mut().handle(self.clock.now_ms(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+        }
+        self.handling.set(false);
+    }
+
+    fn carry_out(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send { request, server } => self.send(request.0, server),
+            Action::Cancel { request, attempt } => self.cancel(request.0, attempt),
+            Action::Refuse { request } => self.answer(request.0, Answer::Refused),
+            Action::Fail { request } => self.answer(request.0, Answer::Failed),
+            Action::SetTimer { timer, after_ms } => {
+                let after = Duration::try_from_secs_f64(after_ms.max(0.0) / 1e3).unwrap_or(LONGEST_TIMER);
+                self.wake_at(Instant::now() + after.min(LONGEST_TIMER), Due::Timer(timer));
+            }
+            Action::Close { server } => self.servers.close_idle(server),
+            Action::Subscribe => self.subscribe.notify_one(),
+            Action::Probe { server } => self.refuse_probe(server),
+            Action::Note(text) => log::line(text),
+        }
+    }
+
+    fn send(self: &Rc<Self>, number: u64, server: ServerId) {
+        let mut open = self.open.borrow_mut();
+        let Some(request) = open.get_mut(&number) else { return };
+        let (attempt, now) = (request.attempts, Instant::now());
+        request.attempts += 1;
+        // Guards the rules whatever the balancer says: no send for a request that is over, none beyond the
+        // attempts allowed, and never two at once.
+        let over = request.answer.is_none() || now >= request.deadline;
+        if over || attempt >= self.max_attempts || request.out.is_some() {
+            drop(open);
+            return self.outcome(number, attempt, Duration::ZERO, Ending::NotSent.into());
+        }
+        let (slot, message, deadline) =
+            (Rc::new(Slot::default()), Rc::clone(&request.message), request.deadline);
+        let (driver, held) = (Rc::clone(self), Rc::clone(&slot));
+        let task = tokio::task::spawn_local(async move {
+            let ended = driver.servers.attempt(server, &message, deadline, &held).await;
+            driver.ended(number, attempt, ended);
+        });
+        request.out = Some(Out { number: attempt, sent: now, slot, task: task.abort_handle() });
+    }
+
+    /// An attempt came to its own end.
+    fn ended(self: &Rc<Self>, number: u64, attempt: usize, mut ended: Ended) {
+        let sent = {
+            let mut open = self.open.borrow_mut();
+            let Some(request) = open.get_mut(&number) else { return };
+            let Some(out) = request.out.take_if(|out| out.number == attempt) else { return };
+            if let (Some(served), Some(answer)) =
+                (ended.served.take(), request.answer.take_if(|_| ended.ending == Ending::Served))
+            {
+                let _ = answer.send(Answer::Served(served)); // A client that has left is an event of its own.
+            }
+            out.sent
+        };
+        self.outcome(number, attempt, sent.elapsed(), ended);
+    }
+
+    fn outcome(self: &Rc<Self>, number: u64, attempt: usize, elapsed: Duration, ended: Ended) {
+        let complete = self.open.borrow().get(&number).is_none_or(|request| request.answer.is_none());
+        self.forget(number);
+        self.feed(Event::Outcome(Outcome {
+            request: RequestId(number),
+            attempt,
+            elapsed_ms: elapsed.as_secs_f64() * 1e3,
+            ending: ended.ending,
+            complete,
+            report: ended.report,
+        }));
+    }
+
+    /// Gives up the attempt that is out; its connection is closed when this returns.
+    fn give_up(&self, number: u64, attempt: Option<usize>) -> Option<Out> {
+        let mut open = self.open.borrow_mut();
+        let out = &mut open.get_mut(&number)?.out;
+        let out = out.take_if(|out| attempt.is_none_or(|attempt| out.number == attempt))?;
+        out.task.abort();
+        out.slot.close();
+        Some(out)
+    }
+
+    fn cancel(self: &Rc<Self>, number: u64, attempt: usize) {
+        if let Some(out) = self.give_up(number, Some(attempt)) {
+            self.outcome(number, attempt, out.sent.elapsed(), Ending::Cancelled.into());
+        }
+    }
+
+    /// A request is out of time: its attempt has timed out, and what the balancer has not answered by then
+    /// has failed.
+    fn out_of_time(self: &Rc<Self>, number: u64) {
+        if let Some(out) = self.give_up(number, None) {
+            self.outcome(number, out.number, out.sent.elapsed(), Ending::TimedOut.into());
+        }
+        let late = self.open.borrow().get(&number).is_some_and(|request| request.answer.is_some());
+        if late {
+            log::line("a request was still held at its deadline");
+            self.answer(number, Answer::Failed);
+            self.feed(Event::ClientGone(RequestId(number)));
+        }
+    }
+
+    fn answer(&self, number: u64, answer: Answer) {
+        let owed = self.open.borrow_mut().get_mut(&number).and_then(|request| request.answer.take());
+        if let Some(owed) = owed {
+            let _ = owed.send(answer); // A client that has left is an event of its own.
+        }
+        self.forget(number);
+    }
+
+    /// Forgets a request that is owed nothing and has nothing out.
+    fn forget(&self, number: u64) {
+        let mut open = self.open.borrow_mut();
+        if open.get(&number).is_some_and(|request| request.answer.is_none() && request.out.is_none()) {
+            open.remove(&number);
+        }
+    }
+
+    fn client_gone(self: &Rc<Self>, number: u64) {
+        let owed = self.open.borrow_mut().get_mut(&number).and_then(|request| request.answer.take());
+        if owed.is_some() {
+            self.forget(number);
+            self.feed(Event::ClientGone(RequestId(number)));
+        }
+    }
+
+    /// Probes are not made: no settings that this node runs under allow them.
+    fn refuse_probe(&self, server: ServerId) {
+        let ending = Ending::NotSent;
+        self.events.borrow_mut().push_back(Event::Probed { server, elapsed_ms: 0.0, ending, report: None });
+    }
+
+    fn wake_at(&self, at: Instant, due: Due) {
+        let mut heap = self.due.borrow_mut();
+        if heap.peek().is_none_or(|Reverse((first, _))| at < *first) {
+            self.earlier.notify_one();
+        }
+        heap.push(Reverse((at, due)));
+    }
+
+    async fn wake_up(self: Rc<Self>) {
+        loop {
+            let first = self.due.borrow().peek().map(|Reverse((at, _))| *at);
+            match first {
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep_until(at.into()) => {}
+                    () = self.earlier.notified() => {}
+                },
+                None => self.earlier.notified().await,
+            }
+            while let Some((at, due)) = self.next_due() {
+                self.latest.set(self.latest.get().max(at.elapsed()));
+                match due {
+                    Due::Timer(timer) => self.feed(Event::Timer(timer)),
+                    Due::Deadline(number) => self.out_of_time(number),
+                }
+            }
+        }
+    }
+
+    fn next_due(&self) -> Option<(Instant, Due)> {
+        let mut heap = self.due.borrow_mut();
+        let due = heap.peek().is_some_and(|Reverse((at, _))| *at <= Instant::now());
+        due.then(|| heap.pop()).flatten().map(|Reverse(due)| due)
+    }
+
+    async fn sweep(self: Rc<Self>) {
+        let mut ticks = tokio::time::interval(SWEEP);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.servers.retire();
+        }
+    }
+
+    /// Tells the operators how late the latest wake-up was.
+    pub fn report_lateness(&self) {
+        log::line(format_args!(
+            "the latest wake-up was {:.1} ms late",
+            self.latest.get().as_secs_f64() * 1e3
+        ));
+    }
+}
+
+/// A request that the driver has taken. Dropping it means that its client has gone.
+pub struct Taken {
+    driver: Rc<Driver>,
+    number: u64,
+    answered: oneshot::Receiver<Answer>,
+}
+
+impl Taken {
+    /// Waits for the final answer.
+    pub async fn answer(mut self) -> Answer {
+        (&mut self.answered).await.unwrap_or(Answer::Failed)
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.driver.client_gone(self.number);
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -168,7 +168,8 @@
 }
 
 /// A number that every node derives alike from a name: FNV-1a, its bits mixed once more.
-fn spread(name: &str) -> u64 {
+#[must_use]
+pub fn spread(name: &str) -> u64 {
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
     let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
     (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
@@ -210,9 +211,6 @@
     /// They are no object of the expected types.
     pub fn settings(&mut self, facts: &str) -> Result<Settings, WireError> {
         let facts: Value = serde_json::from_str(facts).map_err(|e| WireError(format!("`facts`: {e}")))?;
-        if !facts.is_object() {
-            return wrong("`facts` is no object");
-        }
         let fields = facts["stats"]["fields"].as_array().map_or(&[][..], Vec::as_slice);
         self.in_flight_at = fields.iter().position(|f| f == "active");
         self.queued_at = fields.iter().position(|f| f == "waiting");
@@ -335,8 +333,16 @@
     })
 }
 
-/// The settings of a start; a key that is missing keeps its default, one of a wrong type is an error.
-fn read_settings(facts: &Value) -> Result<Settings, WireError> {
+/// The settings of a start, as the simulator and a node's configuration hold them; a key that is missing keeps
+/// its default.
+///
+/// # Errors
+///
+/// They are no object, or hold a key of a wrong type.
+pub fn read_settings(facts: &Value) -> Result<Settings, WireError> {
+    if !facts.is_object() {
+        return wrong("`facts` is no object");
+    }
     let class_list = facts["classes"].as_array().map_or(&[][..], Vec::as_slice);
     let classes = class_list.iter().map(read_class).collect::<Result<Vec<_>, _>>()?;
     let mut settings = Settings::new(classes);
