Test the node over loopback sockets; a rejected body is read before its answer

Cause: the node had no tests. Twenty now drive the program itself: what goes on unchanged, which outcome may have run, stale connections, drains, watches in pieces, SIGTERM, bad input. Writing the one for 413 showed that a connection closed with a body unread may be reset before its client has the answer (clients.rs, api: early returns dropped the body); what is rejected is now read first, within bounds.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -25,6 +25,9 @@
 const BUFFER: usize = 32 * 1024;
 /// How long a client may take to send a request's head, or to begin another on its connection.
 const HEAD_TIME: Duration = Duration::from_secs(60);
+/// The most that is read of a body that nobody wants, and for how long.
+const MOST_DISCARDED: usize = 4 * MOST_BODY;
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Wait after a connection could not be accepted, for want of descriptors say.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 
@@ -148,6 +151,8 @@
 
 type Rejection = (StatusCode, &'static str);
 
+const TOO_LARGE: Rejection = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+
 fn bad(why: &'static str) -> Rejection {
     (StatusCode::BAD_REQUEST, why)
 }
@@ -155,16 +160,21 @@
 async fn api(request: Request<Incoming>, driver: &Rc<Driver>) -> Result<Response<Full<Bytes>>, Rejection> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let meaning = Meaning::read(&head.method, &head.headers, driver)?;
+    let meaning = match Meaning::read(&head.method, &head.headers, driver) {
+        Ok(_) if body.size_hint().lower() > MOST_BODY as u64 => Err(TOO_LARGE),
+        meaning => meaning,
+    };
+    let meaning = match meaning {
+        Ok(meaning) => meaning,
+        Err(rejection) => {
+            discard(body).await;
+            return Err(rejection);
+        }
+    };
     let key = head.uri.query().and_then(key_of);
-    if body.size_hint().lower() > MOST_BODY as u64 {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
-    }
     let body = match Limited::new(body, MOST_BODY).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"))
-        }
+        Err(error) if error.is::<LengthLimitError>() => return Err(TOO_LARGE),
         Err(_) => return Err(bad("the body is malformed\n")),
     };
     let headers = end_to_end(head.headers);
@@ -185,6 +195,12 @@
     })
 }
 
+/// Reads what is left of a body that nobody wants, within bounds. Guards against an answer that its client never
+/// sees: a connection that is closed with bytes unread is reset, and the answer lost with it.
+async fn discard(body: Incoming) {
+    let _ = tokio::time::timeout(DISCARD_TIME, Limited::new(body, MOST_DISCARDED).collect()).await;
+}
+
 /// What a request's headers say.
 struct Meaning {
     class: usize,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -77,7 +77,9 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(system("listen for SIGTERM"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(system("listen for SIGINT"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(system("listen for clients"))?;
+    let address = listener.local_addr().map_err(system("listen for clients"))?;
     let driver = Driver::start(&config)?;
+    log::line(format_args!("serves on {address}"));
     let known = Some(config.known.generation).filter(|_| !config.known.instances.is_empty());
     tokio::task::spawn_local(discovery::follow(Rc::clone(&driver), config.discovery, config.push, known));
     let (phase, phases) = watch::channel(Phase::Serving);
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,316 @@
+//! The node as its clients, its servers, discovery and the platform see it, over loopback sockets.
+
+#[path = "common/sockets.rs"]
+mod sockets;
+
+use std::process::Stdio;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use sockets::*;
+
+const KEY: &str = "Idempotency-Key: 5c0f\r\n";
+
+#[test]
+fn a_request_goes_on_unchanged_and_so_does_the_answer() {
+    let server = Server::start(|_| {
+        Reply::Say(answer("200 OK", "Srv-Load: TEXT inflight=1, queue=0\r\n", "rooms: 3\n"))
+    });
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let served = node.ask(&post("r1", "hold", KEY, "a guest"));
+    assert_eq!((served.status(), served.body.as_slice()), (200, b"rooms: 3\n".as_slice()));
+    let requests = server.requests();
+    assert_eq!(requests.len(), 1);
+    assert_eq!(requests[0].first, "POST /api?key=inn-7 HTTP/1.1");
+    assert_eq!(requests[0].body, b"a guest");
+    assert_eq!(requests[0].header("req-id"), Some("r1"));
+    assert_eq!(requests[0].header("idempotency-key"), Some("5c0f"));
+    let left = requests[0].header("req-deadline").and_then(|d| d.strip_suffix('u'));
+    let left: u64 = left.expect("microseconds").parse().expect("a number");
+    assert!(left > 0 && left < 15_000_000, "the time that is left goes on: {left}");
+}
+
+#[test]
+fn connections_are_kept_on_both_sides() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let mut client = node.connect();
+    for id in ["a", "b", "c"] {
+        client.send(&read(id, "15000m"));
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+    }
+    assert_eq!((server.requests().len(), server.opened()), (3, 1));
+}
+
+#[test]
+fn what_makes_no_sense_is_told_so_and_sent_nowhere() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let good = read("a", "480m");
+    let large = "x".repeat(64 * 1024 + 1);
+    let cases = [
+        (400, "nonsense\r\n\r\n".to_owned()),
+        (400, good.replace("Req-Id: a\r\n", "")),
+        (400, good.replace("Req-Kind: read", "Req-Kind: other")),
+        (400, good.replace("Req-Kind: read\r\n", "")),
+        (400, good.replace("480m", "480")),
+        (400, good.replace("480m", "m")),
+        (400, good.replace("480m", "-1m")),
+        (400, good.replace("480m", "NaNm")),
+        (400, good.replace("480m", "12é")),
+        (400, good.replace("Req-Deadline: 480m\r\n", "")),
+        (400, good.replace("GET", "POST")),
+        (400, post("a", "hold", "", "no key")),
+        (400, post("a", "pay", KEY, "a key")),
+        (404, good.replace("/api", "/other")),
+        (413, post("a", "pay", "", &large)),
+        (405, "POST /up HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n".to_owned()),
+    ];
+    for (status, request) in cases {
+        assert_eq!(node.ask(&request).status(), status, "{}", &request[..request.len().min(300)]);
+    }
+    assert!(server.requests().is_empty());
+    assert_eq!(node.ask(&read("b", "15000m")).status(), 200, "it serves on");
+}
+
+#[test]
+fn a_body_of_64_kib_passes() {
+    let server = Server::start(|request| Reply::ok(&"y".repeat(request.body.len())));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let served = node.ask(&post("a", "pay", "", &"x".repeat(64 * 1024)));
+    assert_eq!((served.status(), served.body.len()), (200, 64 * 1024));
+}
+
+/// Guards against a request that is taken to have run where it has not: an unsafe one would be lost.
+#[test]
+fn what_never_ran_is_sent_again_whatever_its_class() {
+    let seen = AtomicUsize::new(0);
+    let server = Server::start(move |_| match seen.fetch_add(1, Ordering::SeqCst) {
+        0 => Reply::Say(answer("503 Service Unavailable", "Srv-Declined: 1\r\n", "")),
+        _ => Reply::ok("yes"),
+    });
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    assert_eq!(node.ask(&post("a", "pay", "", "x")).status(), 200);
+    assert_eq!(server.requests().len(), 2);
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_never_ran_it() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let nobody =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let discovery = Discovery::start();
+    let entries = [entry("s-dead", nobody, "ready"), server.entry("s-live", "ready")];
+    let node = Node::start(&config(discovery.address, &list(1, true, &entries), &settings(15_000)));
+    for id in 0..8 {
+        assert_eq!(node.ask(&post(&format!("r{id}"), "pay", "", "x")).status(), 200);
+    }
+    assert_eq!(server.requests().len(), 8);
+}
+
+/// Guards against a second effect: what broke after the last byte may have run, and an unsafe request is then
+/// neither sent again nor called refused.
+#[test]
+fn what_may_have_run_is_not_repeated_where_that_is_unsafe() {
+    for reply in
+        [Reply::Close, Reply::Say(answer("500 Oops", "", "")), Reply::Say(b"nonsense\r\n\r\n".to_vec())]
+    {
+        let server = Server::start(move |_| reply.clone());
+        let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+        assert_eq!(node.ask(&post("a", "pay", "", "x")).status(), 502);
+        assert_eq!(server.requests().len(), 1);
+    }
+}
+
+#[test]
+fn a_503_that_is_not_declined_may_have_run() {
+    let server = Server::start(|_| Reply::Say(answer("503 Service Unavailable", "", "")));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    assert_eq!(node.ask(&post("a", "pay", "", "x")).status(), 502);
+    assert_eq!(server.requests().len(), 1);
+}
+
+#[test]
+fn an_answer_that_is_cut_short_or_too_large_is_not_passed_on() {
+    let mut cut = answer("200 OK", "", "rooms: 3\n");
+    cut.pop();
+    let large = answer("200 OK", "", &"y".repeat(64 * 1024 + 1));
+    for reply in [Reply::SayAndClose(cut), Reply::Say(large)] {
+        let server = Server::start(move |_| reply.clone());
+        let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+        assert_eq!(node.ask(&post("a", "pay", "", "x")).status(), 502);
+    }
+}
+
+#[test]
+fn load_reports_that_make_no_sense_are_survived() {
+    for load in ["TEXT inflight=x", "TEXT inflight", "JSON {}", "TEXT inflight=NaN, queue=-1", ""] {
+        let reply = answer("200 OK", &format!("Srv-Load: {load}\r\n"), "yes");
+        let server = Server::start(move |_| Reply::Say(reply.clone()));
+        let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+        assert_eq!(node.ask(&read("a", "15000m")).status(), 200);
+        assert_eq!(node.ask(&read("b", "15000m")).status(), 200);
+    }
+}
+
+/// Guards against a request on a connection that its server has closed: it would end as a reset, which an
+/// unsafe request does not survive.
+#[test]
+fn a_connection_that_its_server_closed_is_not_used_again() {
+    let server = Server::start(|_| Reply::SayAndClose(answer("200 OK", "", "yes")));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    for n in 1..=5 {
+        assert_eq!(node.ask(&post(&format!("r{n}"), "pay", "", "x")).status(), 200);
+        until("the server has closed", || server.closed() == n);
+    }
+    assert_eq!(server.requests().len(), 5);
+}
+
+/// Guards against a request that is held past its time by a server that took it and fell silent.
+#[test]
+fn a_silent_server_is_waited_for_until_the_deadline_and_no_longer() {
+    let server = Server::start(|_| Reply::Silence);
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let start = Instant::now();
+    let status = node.ask(&post("a", "pay", "", "x").replace("15000m", "700m")).status();
+    assert!((500..600).contains(&status) && status != 503, "it may have run: {status}");
+    assert!(start.elapsed() >= Duration::from_millis(600), "it was given its time");
+    until("its connection is closed", || server.closed() == 1);
+}
+
+#[test]
+fn a_client_that_hangs_up_ends_the_attempt() {
+    let server = Server::start(|_| Reply::Silence);
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let mut client = node.connect();
+    client.send(&read("a", "15000m"));
+    until("it was sent", || server.requests().len() == 1);
+    drop(client);
+    until("its connection is closed", || server.closed() == 1);
+}
+
+#[test]
+fn with_no_server_the_answer_is_a_refusal() {
+    let (node, _discovery, _watch) = Node::with(&[], 15_000);
+    assert_eq!(node.ask(&read("a", "15000m")).status(), 503);
+}
+
+#[test]
+fn a_change_that_comes_in_pieces_is_followed() {
+    let (old, new) = (Server::start(|_| Reply::ok("old")), Server::start(|_| Reply::ok("new")));
+    let (node, _discovery, mut watch) = Node::with(&[&old], 15_000);
+    assert!(watch.asked.contains("watch=1") && watch.asked.contains("from=1"), "{}", watch.asked);
+    let change = list(2, false, &[old.entry("s-0", "draining"), new.entry("s-9", "ready")]);
+    watch.say("\n");
+    let (head, tail) = change.split_at(change.len() / 2);
+    watch.say(head);
+    watch.say(tail);
+    watch.say("\n\n");
+    let mut n = 0;
+    until("requests go to the new server", || {
+        n += 1;
+        node.ask(&read(&format!("r{n}"), "15000m")).body == b"new"
+    });
+    for n in 0..10 {
+        assert_eq!(
+            node.ask(&read(&format!("s{n}"), "15000m")).body,
+            b"new",
+            "nothing goes to one that drains"
+        );
+    }
+}
+
+#[test]
+fn a_full_list_replaces_all_and_bad_entries_are_passed_over() {
+    let (old, new) = (Server::start(|_| Reply::ok("old")), Server::start(|_| Reply::ok("new")));
+    let (node, _discovery, mut watch) = Node::with(&[&old], 15_000);
+    let bad = [
+        "7".to_owned(),
+        r#"{"instanceId":"s-7"}"#.to_owned(),
+        new.entry("s-8", "asleep"),
+        new.entry("s-6", "ready").replace(&new.address.to_string(), "nowhere"),
+        new.entry("s-9", "ready"),
+    ];
+    watch.say(&format!("{}\n", list(2, true, &bad)));
+    let mut n = 0;
+    until("requests go to the new server", || {
+        n += 1;
+        node.ask(&read(&format!("r{n}"), "15000m")).body == b"new"
+    });
+    assert_eq!(node.ask(&read("s", "15000m")).body, b"new");
+}
+
+#[test]
+fn a_watch_that_ends_is_opened_again_from_where_it_was() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, discovery, mut watch) = Node::with(&[&server], 15_000);
+    watch.say(&format!("{}\n", list(5, false, &[])));
+    drop(watch);
+    let mut watch = discovery.watch();
+    // What was written may have been lost with the connection.
+    assert!(watch.asked.contains("from=5") || watch.asked.contains("from=1"), "{}", watch.asked);
+    watch.say("{nonsense}\n");
+    let watch = discovery.watch();
+    assert!(!watch.asked.contains("from="), "the whole list is asked for: {}", watch.asked);
+    assert_eq!(node.ask(&read("a", "15000m")).status(), 200, "the list held stands");
+}
+
+#[test]
+fn a_silent_watch_is_opened_again() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (_node, discovery, _silent) = Node::with(&[&server], 15_000);
+    assert!(discovery.watch().asked.contains("from=1"));
+}
+
+/// Guards against requests lost at a planned restart.
+#[test]
+fn sigterm_ends_the_program_once_all_is_answered() {
+    let go = std::sync::Arc::new(AtomicUsize::new(0));
+    let gate = std::sync::Arc::clone(&go);
+    let server = Server::start(move |_| {
+        until("the gate opens", || gate.load(Ordering::SeqCst) == 1);
+        Reply::ok("yes")
+    });
+    let (mut node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let (mut held, mut between) = (node.connect(), node.connect());
+    between.send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(between.answer().expect("an answer").status(), 200);
+    held.send(&read("a", "15000m"));
+    until("it waits", || server.opened() == 1);
+    node.terminate();
+    assert!(between.is_closed(), "a connection between requests is closed");
+    go.store(1, Ordering::SeqCst);
+    let served = held.answer().expect("what was held is answered");
+    assert_eq!((served.status(), served.header("connection")), (200, Some("close")));
+    assert!(held.is_closed());
+    assert_eq!(node.wait().code(), Some(0));
+}
+
+#[test]
+fn a_broken_configuration_ends_with_one_line() {
+    let good = config("127.0.0.1:1".parse().expect("an address"), &list(1, true, &[]), &settings(1_000));
+    let broken = [
+        "{".to_owned(),
+        "[]".to_owned(),
+        good.replace("\"127.0.0.1:0\"", "\"here\""),
+        good.replace("\"0f\"", "\"seed\""),
+        good.replace("1000.0", "-1.0"),
+        good.replace("\"max_attempts\":3", "\"max_attempts\":0"),
+        good.replace("60000.0}", "\"long\"}"),
+    ];
+    for text in broken {
+        assert_ne!(text, good);
+        let path = write_config(&text);
+        ends_with_one_line(program().env("ROUTER_CONFIG", &path));
+        std::fs::remove_file(path).expect("a file");
+    }
+    ends_with_one_line(&mut program());
+    ends_with_one_line(program().env("ROUTER_CONFIG", "/nowhere/at/all"));
+}
+
+fn ends_with_one_line(command: &mut std::process::Command) {
+    let output = command.stdout(Stdio::piped()).stderr(Stdio::piped()).output().expect("it starts");
+    let log = String::from_utf8(output.stderr).expect("text");
+    assert_eq!(output.status.code(), Some(1), "{log}");
+    assert!(log.starts_with("silverthread: ") && log.lines().count() == 1, "{log}");
+}
