--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,8 +1,12 @@
 //! The clients' side: connections, what their requests mean, and the final answers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,7 +18,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 
 use super::driver::{Answer, Driver};
 use super::log;
@@ -60,55 +64,78 @@
     Closing,
 }
 
-/// Serves clients until the phase is [`Phase::Closing`] and all that was taken is answered.
-pub async fn serve(listener: TcpListener, driver: Rc<Driver>, phases: watch::Receiver<Phase>, most: usize) {
-    let places = std::sync::Arc::new(Semaphore::new(most));
-    let mut closing = phases.clone();
-    let closing = closing.wait_for(|phase| *phase == Phase::Closing);
-    let mut closing = pin!(closing);
+/// What the connections of clients share.
+struct Hall {
+    driver: Rc<Driver>,
+    phases: watch::Receiver<Phase>,
+    /// Wakes the connection that has waited longest to leave, where there is no place for a new one.
+    crowded: Notify,
+}
+
+/// Serves clients until the phase is [`Phase::Closing`] and all that was taken is answered, `last_answer` after
+/// that at the latest: a client that does not read its answer must not hold up the end.
+pub async fn serve(
+    listener: TcpListener,
+    driver: Rc<Driver>,
+    phases: watch::Receiver<Phase>,
+    most: usize,
+    last_answer: Duration,
+) {
+    let places = Arc::new(Semaphore::new(most));
+    let hall = Rc::new(Hall { driver, phases: phases.clone(), crowded: Notify::new() });
+    let mut phases = phases;
+    let mut closing = pin!(phases.wait_for(|phase| *phase == Phase::Closing));
     loop {
         let accepted = async {
             // Guards the limit on descriptors: what is beyond waits in the system's queue.
-            let place = std::sync::Arc::clone(&places).acquire_owned().await;
+            let place = place(&places, &hall.crowded).await;
             (listener.accept().await, place)
         };
+        // What has come is taken before the end of the hand-over is looked at: it would be reset.
         let (accepted, place) = tokio::select! {
             biased;
             accepted = accepted => accepted,
             _ = &mut closing => break,
         };
-        match (accepted, place) {
-            (Ok((stream, _)), Ok(place)) => {
-                tokio::task::spawn_local(connection(stream, Rc::clone(&driver), phases.clone(), place));
-            }
-            (Err(error), _) => {
+        match accepted {
+            Ok((stream, _)) => drop(tokio::task::spawn_local(connection(stream, Rc::clone(&hall), place))),
+            Err(error) => {
                 log::line(format_args!("cannot accept a connection: {error}"));
                 tokio::time::sleep(ACCEPT_AGAIN).await;
             }
-            (_, Err(_)) => break,
         }
     }
     drop(listener);
     // Every connection holds a place until it ends.
     let all = u32::try_from(most).unwrap_or(u32::MAX);
-    let _ = places.acquire_many(all).await;
+    if tokio::time::timeout(last_answer, places.acquire_many(all)).await.is_err() {
+        log::line("a client did not take its answer in time");
+    }
 }
 
-async fn connection(
-    stream: TcpStream,
-    driver: Rc<Driver>,
-    mut phases: watch::Receiver<Phase>,
-    _place: OwnedSemaphorePermit,
-) {
+/// A place for one more connection, one that stands between requests being closed for it if there is none.
+async fn place(places: &Arc<Semaphore>, crowded: &Notify) -> Option<OwnedSemaphorePermit> {
+    loop {
+        let place = tokio::time::timeout(ACCEPT_AGAIN, Arc::clone(places).acquire_owned()).await;
+        match place {
+            Ok(place) => return place.ok(),
+            Err(_) => crowded.notify_one(),
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, hall: Rc<Hall>, _place: Option<OwnedSemaphorePermit>) {
     if let Err(error) = stream.set_nodelay(true) {
         return log::line(format_args!("cannot set up a connection: {error}"));
     }
-    let phase = phases.clone();
+    let busy = Cell::new(false);
     let service = service_fn(|request| {
-        let (driver, phase) = (Rc::clone(&driver), phase.clone());
+        let (hall, busy) = (&hall, &busy);
         async move {
-            let mut response = respond(request, &driver).await;
-            if *phase.borrow() != Phase::Serving {
+            busy.set(true);
+            let mut response = respond(request, &hall.driver).await;
+            busy.set(false);
+            if *hall.phases.borrow() != Phase::Serving {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -120,9 +147,22 @@
         .header_read_timeout(HEAD_TIME)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
+    let mut phases = hall.phases.clone();
+    let mut leave = pin!(async {
+        tokio::select! {
+            _ = phases.wait_for(|phase| *phase == Phase::Closing) => {}
+            () = hall.crowded.notified() => {}
+        }
+    });
+    // While a request is on it, a connection does not look whether it should leave.
+    let ended = poll_fn(|cx| match connection.as_mut().poll(cx) {
+        Poll::Ready(ended) => Poll::Ready(Some(ended)),
+        Poll::Pending if !busy.get() => leave.as_mut().poll(cx).map(|()| None),
+        Poll::Pending => Poll::Pending,
+    });
+    let ended = match ended.await {
+        Some(ended) => ended,
+        None => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -172,10 +212,12 @@
         }
     };
     let key = head.uri.query().and_then(key_of);
-    let body = match Limited::new(body, MOST_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => return Err(TOO_LARGE),
-        Err(_) => return Err(bad("the body is malformed\n")),
+    let body = tokio::time::timeout(meaning.time, Limited::new(body, MOST_BODY).collect());
+    let body = match body.await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(TOO_LARGE),
+        Ok(Err(_)) => return Err(bad("the body is malformed\n")),
+        Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
     };
     let headers = end_to_end(head.headers);
     let message = Message { method: head.method, uri: head.uri, headers, body };
@@ -222,9 +264,9 @@
             _ => 0,
         };
         let time = text(REQ_DEADLINE).and_then(read_time).ok_or(bad("Req-Deadline is missing or bad\n"))?;
-        let (effect, longest) = names.rules[class];
+        let rule = &names.rules[class];
         let keyed = headers.contains_key(IDEMPOTENCY_KEY);
-        let (right, has_key) = match effect {
+        let (right, has_key) = match rule.effect {
             Effect::Safe => (Method::GET, false),
             Effect::Keyed { .. } => (Method::POST, true),
             Effect::Unsafe => (Method::POST, false),
@@ -232,7 +274,7 @@
         if *method != right || keyed != has_key {
             return Err(bad("the method or Idempotency-Key is not the one of its Req-Kind\n"));
         }
-        Ok(Self { class, tenant, time: time.min(longest) })
+        Ok(Self { class, tenant, time: time.min(rule.longest) })
     }
 }
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -15,7 +15,8 @@
 use super::servers::{Ended, Message, Served, Servers, Slot};
 use crate::wire::WireError;
 use crate::{
-    Action, Balancer, Effect, Ending, Event, Listing, Outcome, Request, RequestId, ServerEntry, ServerId,
+    Action, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request, RequestId, ServerEntry,
+    ServerId,
 };
 
 /// An answer must reach the client within its time: this much before its end the node stops waiting.
@@ -106,8 +107,8 @@
 pub struct SettingNames {
     /// Classes.
     pub classes: Names,
-    /// What running a request of each class twice does, and how long its clients wait at the most.
-    pub rules: Vec<(Effect, Duration)>,
+    /// What holds for each class.
+    pub rules: Vec<ClassRule>,
     /// Tenants.
     pub tenants: Names,
     /// Zones.
@@ -116,6 +117,14 @@
     pub kinds: Names,
 }
 
+/// What holds for the requests of a class.
+pub struct ClassRule {
+    /// What running one twice does.
+    pub effect: Effect,
+    /// How long a client waits at the most.
+    pub longest: Duration,
+}
+
 impl Driver {
     /// A driver that knows the list of servers that the configuration names.
     ///
@@ -124,7 +133,10 @@
     /// The module does not take the settings.
     pub fn start(config: &Config) -> Result<Rc<Self>, ConfigError> {
         let settings = config.settings.clone();
-        let rules = |c: &crate::Class| (c.effect, Duration::from_secs_f64(c.deadline_ms.min(1e9) / 1e3));
+        let rules = |class: &Class| ClassRule {
+            effect: class.effect,
+            longest: Duration::from_secs_f64(class.deadline_ms.min(1e9) / 1e3),
+        };
         let names = SettingNames {
             classes: config.classes.clone(),
             rules: settings.classes.iter().map(rules).collect(),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -83,7 +83,9 @@
     let known = Some(config.known.generation).filter(|_| !config.known.instances.is_empty());
     tokio::task::spawn_local(discovery::follow(Rc::clone(&driver), config.discovery, config.push, known));
     let (phase, phases) = watch::channel(Phase::Serving);
-    let clients = clients::serve(listener, Rc::clone(&driver), phases, config.limits.client_connections());
+    let last_answer = driver.names.rules.iter().map(|rule| rule.longest).max().unwrap_or_default();
+    let places = config.limits.client_connections();
+    let clients = clients::serve(listener, Rc::clone(&driver), phases, places, last_answer);
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -190,6 +190,28 @@
     until("its connection is closed", || server.closed() == 1);
 }
 
+/// Guards against clients that wait in the system's queue while others keep connections they do not use.
+#[test]
+fn connections_between_requests_make_room_for_new_ones() {
+    let discovery = Discovery::start();
+    let small = config(discovery.address, &list(1, true, &[]), &settings(15_000)).replace("1024", "8");
+    let node = Node::start(&small);
+    let mut kept = Vec::new();
+    for _ in 0..12 {
+        let mut client = node.connect();
+        client.send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+        kept.push(client);
+    }
+}
+
+#[test]
+fn a_body_that_does_not_come_is_not_waited_for_without_end() {
+    let (node, _discovery, _watch) = Node::with(&[], 300);
+    let whole = post("a", "pay", "", "xx");
+    assert_eq!(node.ask(&whole[..whole.len() - 1]).status(), 408);
+}
+
 #[test]
 fn with_no_server_the_answer_is_a_refusal() {
     let (node, _discovery, _watch) = Node::with(&[], 15_000);
