Let the driver's clock be Unix time at the start, not zero

Probe (a log line for each refusal and each outcome): one node refused 39 requests with no attempt made, 20 of them in its first 632 ms. Ruled out: handshakes (first answers on new connections are hardly slower than on kept ones in that second: median 22 ms against 36 ms) and the node's own time (76 us to the first attempt). At fault: Clock in driver.rs. choice.rs, candidates, tries an idle server where now - pace.at is long, pace.at is 0 for one never heard of, and a clock near zero makes that short for the first aim * nodes / 2 = 1.3 s. A test over sockets shows it: 503 with the old clock, 200 with the new.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -37,25 +37,25 @@
     Failed,
 }
 
-/// The driver's clock: milliseconds since the node's start, which the system's steps do not move.
+/// The driver's clock: Unix time at the node's start and what has passed since, which the system's steps do not
+/// move. When servers started is told in the same time.
+///
+/// It must not count from the start: to the balancer a server that it has never heard of was last heard of at
+/// zero, so a clock near zero would make all servers look heard of just now, and idle ones are then not tried.
 #[derive(Clone, Copy, Debug)]
 struct Clock {
     start: Instant,
-    start_unix_ms: f64,
+    start_ms: f64,
 }
 
 impl Clock {
     fn new() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { start: Instant::now(), start_unix_ms: unix.as_secs_f64() * 1e3 }
+        Self { start: Instant::now(), start_ms: unix.as_secs_f64() * 1e3 }
     }
 
     fn now_ms(self) -> f64 {
-        self.start.elapsed().as_secs_f64() * 1e3
-    }
-
-    fn of_unix_ms(self, unix_ms: f64) -> f64 {
-        unix_ms - self.start_unix_ms
+        self.start_ms + self.start.elapsed().as_secs_f64() * 1e3
     }
 }
 
@@ -208,7 +208,7 @@
             server,
             place: crate::wire::spread(&host.id),
             availability: host.availability,
-            started_at: Some(host.started_at_ms).filter(|t| *t > 0.0).map(|t| self.clock.of_unix_ms(t)),
+            started_at: Some(host.started_at_ms).filter(|t| *t > 0.0),
             cell: host.cell,
             zone: self.names.zones.get(&host.zone).unwrap_or(0),
             kind: self.names.kinds.get(&host.kind).unwrap_or(0),
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -117,9 +117,8 @@
     fn connection(mut stream: TcpStream, seen: &Mutex<Seen>, reply: &dyn Fn(&Message) -> Reply) {
         let mut input = BufReader::new(stream.try_clone().expect("a socket"));
         while let Some(request) = Message::read(&mut input) {
-            let reply = reply(&request);
-            seen.lock().expect("sound").requests.push(request);
-            match reply {
+            seen.lock().expect("sound").requests.push(request.clone());
+            match reply(&request) {
                 Reply::Say(text) => stream.write_all(&text).unwrap_or_default(),
                 Reply::SayAndClose(text) => return stream.write_all(&text).unwrap_or_default(),
                 Reply::Close => return,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -244,6 +244,37 @@
     }
 }
 
+/// Guards against a clock near zero: to the balancer a server that was never heard of was last heard of at zero,
+/// and for the first seconds it refused requests that such a server could have taken.
+#[test]
+fn a_node_that_has_just_started_tries_servers_that_it_never_heard_of() {
+    let slow = Server::start(|_| {
+        std::thread::sleep(Duration::from_secs(2));
+        Reply::ok("slow")
+    });
+    let idle = Server::start(|_| Reply::ok("idle"));
+    let discovery = Discovery::start();
+    let aims = settings(15_000).replace("\"promise_ms\":15000.0", "\"promise_ms\":1000.0");
+    let many_nodes = aims.replace("\"n_instances\":1", "\"n_instances\":60");
+    let known = list(1, true, &[slow.entry("s-0", "ready")]);
+    let node = Node::start(&config(discovery.address, &known, &many_nodes));
+    // Requests come often, and the one server that answers takes most of their aim.
+    for n in 1..=60 {
+        let mut client = node.connect();
+        client.send(&read(&format!("gone-{n}"), "15000m"));
+        until("it was sent", || slow.requests().len() == n);
+    }
+    until("their attempts are given up", || slow.closed() == 60);
+    assert_eq!(node.ask(&read("a", "15000m")).body, b"slow");
+    let mut watch = discovery.watch();
+    let both = [slow.entry("s-0", "ready"), idle.entry("s-1", "ready")];
+    // Nothing is asked between, so that the change is what the node goes by.
+    watch.say(&format!("{}\n", list(2, true, &both)));
+    watch.say("\n");
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(node.ask(&read("b", "15000m")).status(), 200);
+}
+
 #[test]
 fn a_full_list_replaces_all_and_bad_entries_are_passed_over() {
     let (old, new) = (Server::start(|_| Reply::ok("old")), Server::start(|_| Reply::ok("new")));
