Say with a refusal when to come back

A refusal for want of room now names by how much the shortest expected wait exceeds what the request can wait for; the node sends it as Retry-After, the adapter as stay_away_ms.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -214,13 +214,14 @@
     }
 
     /// The server with the lowest count among the eligible, ties broken at random.
-    fn pick(&mut self, held: &Held, aim: f64) -> Option<usize> {
+    fn pick(&mut self, held: &mut Held, aim: f64) -> Option<usize> {
         let mut candidates = self.candidates(held);
         let least =
             |c: &[Candidate], of: fn(&Candidate) -> f64| c.iter().map(of).fold(f64::INFINITY, f64::min);
         // Guards against refusals all at once: the fewer requests in half an aim, the less is known.
         let sure = if self.probing { 0.0 } else { (2.0 * self.gap.mean / self.aim).min(1.0) };
         let draw = self.random.f64().powf(sure);
+        held.has_room_in(least(&candidates, |c| c.wait) * draw - aim);
         candidates.retain(|c| c.wait * draw <= aim || c.untested);
         // Guards against servers whose answers take long of late, whatever they report.
         let bound = least(&candidates, |c| c.wait) * BACKED_UP[usize::from(!self.informed)];
@@ -373,7 +374,7 @@
         let first = held.attempts.is_empty();
         let aim = if first || self.probing { self.worthwhile(&held) } else { f64::INFINITY };
         let spare = first || self.spare_resends() >= 1.0;
-        if let Some(server) = spare.then(|| self.pick(&held, aim)).flatten() {
+        if let Some(server) = spare.then(|| self.pick(&mut held, aim)).flatten() {
             self.send(id, &mut held, server);
             self.held.insert(id, held);
         } else {
@@ -565,7 +566,7 @@
         let harmless = held.ran.is_none() || self.settings.classes[held.class].effect.may_be_refused();
         match (held.answered, harmless) {
             (true, _) => {}
-            (false, true) => self.actions.push(Action::Refuse { request }),
+            (false, true) => self.actions.push(Action::Refuse { request, after_ms: held.room_in }),
             (false, false) => self.actions.push(Action::Fail { request }),
         }
         self.over(request, held.lane.as_deref());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -442,6 +442,8 @@
     Refuse {
         /// The request.
         request: RequestId,
+        /// How long the client should wait before it tries again, where there is a time to name.
+        after_ms: Option<f64>,
     },
     /// Final answer: failed, perhaps with an effect.
     Fail {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -232,7 +232,14 @@
             }
             response
         }
-        Answer::Refused => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
+        Answer::Refused { after_ms } => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "");
+            let seconds = after_ms.map(|ms| format!("{:.3}", ms / 1e3));
+            if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
+                response.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+            response
+        }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, ""),
     })
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -32,7 +32,10 @@
     /// A server's own.
     Served(Served),
     /// Refused: trying again is harmless.
-    Refused,
+    Refused {
+        /// When the client should, where the balancer names a time.
+        after_ms: Option<f64>,
+    },
     /// Failed.
     Failed,
 }
@@ -262,7 +265,7 @@
         match action {
             Action::Send { request, server } => self.send(request.0, server),
             Action::Cancel { request, attempt } => self.cancel(request.0, attempt),
-            Action::Refuse { request } => self.answer(request.0, Answer::Refused),
+            Action::Refuse { request, after_ms } => self.answer(request.0, Answer::Refused { after_ms }),
             Action::Fail { request } => self.answer(request.0, Answer::Failed),
             Action::SetTimer { timer, after_ms } => {
                 let after = Duration::try_from_secs_f64(after_ms.max(0.0) / 1e3).unwrap_or(LONGEST_TIMER);
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,16 @@
     /// The first attempt that may have run or may still run.
     pub ran: Option<usize>,
     pub answered: bool,
+    /// When it might find room, if the last look for a server found none for want of it.
+    pub room_in: Option<f64>,
+}
+
+impl Held {
+    /// Notes by how much the shortest wait exceeds what the request can wait for: by then as much will have
+    /// drained. Guards against clients that are sent away with no word of when there may be room.
+    pub fn has_room_in(&mut self, excess_ms: f64) {
+        self.room_in = Some(excess_ms).filter(|ms| ms.is_finite() && *ms > 0.0);
+    }
 }
 
 /// The requests of one key that run in order, the first being the one whose turn it is.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -300,7 +300,12 @@
             Action::Cancel { request, attempt } => {
                 write!(out, "STOP_ATTEMPT node={node} txn={} try={attempt}", request.0)
             }
-            Action::Refuse { request } => write!(out, "PUSH_BACK node={node} txn={}", request.0),
+            Action::Refuse { request, after_ms: None } => {
+                write!(out, "PUSH_BACK node={node} txn={}", request.0)
+            }
+            Action::Refuse { request, after_ms: Some(ms) } => {
+                write!(out, "PUSH_BACK node={node} txn={} stay_away_ms={ms:.3}", request.0)
+            }
             Action::Fail { request } => write!(out, "REPORT_FAILURE node={node} txn={}", request.0),
             Action::Subscribe => write!(out, "TRACK node={node} want=1"),
             Action::SetTimer { timer, after_ms } => {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -212,6 +212,29 @@
     assert_eq!(node.ask(&whole[..whole.len() - 1]).status(), 408);
 }
 
+/// Guards against clients that are sent away with no word of when there may be room.
+#[test]
+fn a_refusal_for_want_of_room_says_when_to_come_back() {
+    let slow = Server::start(|_| {
+        std::thread::sleep(Duration::from_secs(1));
+        Reply::ok("slow")
+    });
+    let discovery = Discovery::start();
+    let aims = settings(15_000).replace("\"promise_ms\":15000.0", "\"promise_ms\":300.0");
+    let many_nodes = aims.replace("\"n_instances\":1", "\"n_instances\":600");
+    let known = list(1, true, &[slow.entry("s-0", "ready")]);
+    let node = Node::start(&config(discovery.address, &known, &many_nodes));
+    let mut refused = None;
+    until("a request is refused", || {
+        let answer = node.ask(&read("a", "15000m"));
+        refused = Some(answer).filter(|answer| answer.status() == 503);
+        refused.is_some()
+    });
+    let wait = refused.as_ref().and_then(|answer| answer.header("retry-after"));
+    let wait: f64 = wait.expect("a time").parse().expect("seconds");
+    assert!(wait > 0.0 && wait < 15.0, "{wait}");
+}
+
 #[test]
 fn with_no_server_the_answer_is_a_refusal() {
     let (node, _discovery, _watch) = Node::with(&[], 15_000);
