--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -220,7 +220,9 @@
         Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
     };
     let headers = end_to_end(head.headers);
-    let message = Message { method: head.method, uri: head.uri, headers, body };
+    // A client may name the host in the request line, too; a server is asked by path and query.
+    let uri = head.uri.path_and_query().cloned().map_or(head.uri, Into::into);
+    let message = Message { method: head.method, uri, headers, body };
     let Some(taken) = driver.take(meaning.class, meaning.tenant, key, message, arrived, meaning.time) else {
         return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, ""));
     };
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -7,7 +7,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use silverthread::net::clients::{serve, Phase};
+use silverthread::net::config::Config;
+use silverthread::net::driver::Driver;
 use sockets::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const KEY: &str = "Idempotency-Key: 5c0f\r\n";
 
@@ -30,6 +34,15 @@
     assert!(left > 0 && left < 15_000_000, "the time that is left goes on: {left}");
 }
 
+#[test]
+fn a_request_line_that_names_the_host_is_sent_on_by_path() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let absolute = read("a", "15000m").replace("GET /api", "GET http://service.internal/api");
+    assert_eq!(node.ask(&absolute).status(), 200);
+    assert_eq!(server.requests()[0].first, "GET /api?key=inn-7 HTTP/1.1");
+}
+
 #[test]
 fn connections_are_kept_on_both_sides() {
     let server = Server::start(|_| Reply::ok("yes"));
@@ -364,6 +377,30 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+/// Guards against requests lost between SIGTERM and the moment at which the front notices: new connections come
+/// until then, and what they carry is taken and answered. The phases are set by hand, so that no clock decides.
+#[test]
+fn new_connections_are_served_while_a_node_hands_over() {
+    let nowhere = Unreachable::start();
+    let text = config(nowhere.address, &list(1, true, &[]), &settings(15_000));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let driver = Driver::start(&Config::parse(&text).expect("sound")).expect("sound");
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
+        let serving = tokio::task::spawn_local(serve(listener, driver, phases, 16, PATIENCE));
+        phase.send_replace(Phase::HandOver);
+        let mut client = tokio::net::TcpStream::connect(address).await.expect("it still listens");
+        client.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n").await.expect("an open connection");
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).await.expect("an answer, and the end");
+        assert!(answer.starts_with("HTTP/1.1 200 OK") && answer.contains("connection: close"), "{answer}");
+        phase.send_replace(Phase::Closing);
+        tokio::time::timeout(PATIENCE, serving).await.expect("it ends").expect("in order");
+    });
+}
+
 #[test]
 fn a_broken_configuration_ends_with_one_line() {
     let good = config("127.0.0.1:1".parse().expect("an address"), &list(1, true, &[]), &settings(1_000));
