--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -228,7 +228,9 @@
     /// It cannot be used.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
         let raw: Raw = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
-        let settings = read_settings(&raw.settings).map_err(ConfigError::Settings)?;
+        let mut settings = read_settings(&raw.settings).map_err(ConfigError::Settings)?;
+        // This node cannot probe: the balancer is told so, and goes by the reports in answers alone.
+        settings.probes = false;
         settings.validate().map_err(|error| ConfigError::Settings(WireError::other(&error)))?;
         let sockets: SocketSettings = serde_json::from_value(raw.settings).map_err(ConfigError::Malformed)?;
         let names = |named: Vec<Named>| Names::new(named.into_iter().map(|n| n.name));
