--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -23,6 +23,8 @@
 const MARGIN: Duration = Duration::from_millis(10);
 /// The longest time that a timer is set for.
 const LONGEST_TIMER: Duration = Duration::from_secs(71 * 60);
+/// A wake-up that is so late is told to the operators at once: answers are late by as much.
+const LATE: Duration = Duration::from_millis(20);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -383,7 +385,7 @@
         }
     }
 
-    /// Probes are not made: no settings that this node runs under allow them.
+    /// A node that is told of no probes gets none to make; one that is asked for all the same was not sent.
     fn refuse_probe(&self, server: ServerId) {
         let ending = Ending::NotSent;
         self.events.borrow_mut().push_back(Event::Probed { server, elapsed_ms: 0.0, ending, report: None });
@@ -429,15 +431,16 @@
         loop {
             ticks.tick().await;
             self.servers.retire();
+            if self.latest.get() >= LATE {
+                self.report_lateness();
+            }
         }
     }
 
-    /// Tells the operators how late the latest wake-up was.
+    /// Tells the operators how late the latest wake-up since the last report was.
     pub fn report_lateness(&self) {
-        log::line(format_args!(
-            "the latest wake-up was {:.1} ms late",
-            self.latest.get().as_secs_f64() * 1e3
-        ));
+        let latest = self.latest.take();
+        log::line(format_args!("the latest wake-up was {:.1} ms late", latest.as_secs_f64() * 1e3));
     }
 }
 
