Follow SIGHUP: read the configuration again and move the watch to its discovery

Cause: nothing listened for SIGHUP, whose default ends the process (mod.rs, node; exit 129), and the address of discovery was fixed at the start (discovery.rs, follow). The handler now stands before the node listens; reload.rs reads the file again, a broken one is logged and the old one kept; the watch leaves the old address at once and asks the new one for the whole list, as versions are one discovery's own. Changes from a version before the one held now count as senseless, too. Tests: three reloads with broken files between (fails by exit without it), and a version that goes back.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use super::config::HostList;
 use super::driver::Driver;
@@ -141,33 +142,59 @@
     }
 }
 
-/// Follows the list for as long as the node runs. Where changes do not come by themselves, each watch is one
-/// that the balancer asked for, and it hears of its end.
-pub async fn follow(driver: Rc<Driver>, address: SocketAddr, push: bool, mut version: Option<u64>) {
+/// Follows the list for as long as the node runs, at the latest address. Where changes do not come by themselves,
+/// each watch is one that the balancer asked for, and it hears of its end.
+pub async fn follow(
+    driver: Rc<Driver>,
+    mut addresses: watch::Receiver<SocketAddr>,
+    push: bool,
+    mut version: Option<u64>,
+) {
     let mut wait = BACKOFF[0];
+    let mut moved = false;
     loop {
-        if !push {
+        if !push && !moved {
             driver.subscribe.notified().await;
         }
+        let address = *addresses.borrow_and_update();
         let mut heard = false;
-        let Err(end) = watch(&driver, address, &mut version, &mut heard).await;
-        match end {
-            End::Lost(why) => log::line(format_args!("the watch on the list of servers ended: {why}")),
-            End::Malformed(why) => {
+        let end = tokio::select! {
+            Err(end) = watch_list(&driver, address, &mut version, &mut heard) => Some(end),
+            Ok(()) = addresses.changed() => None,
+        };
+        moved = match end {
+            Some(End::Lost(why)) => {
+                log::line(format_args!("the watch on the list of servers ended: {why}"));
+                false
+            }
+            Some(End::Malformed(why)) => {
                 log::line(format_args!("the watch on the list of servers made no sense: {why}"));
                 version = None;
+                false
             }
+            None => true,
+        };
+        if !moved {
+            if !push {
+                driver.list_failed();
+            }
+            wait = if heard { BACKOFF[0] } else { (wait * 2).min(BACKOFF[1]) };
+            // Guards against a node that waits for an address of no more use.
+            moved = tokio::select! {
+                () = tokio::time::sleep(wait) => false,
+                Ok(()) = addresses.changed() => true,
+            };
         }
-        if !push {
-            driver.list_failed();
+        if moved {
+            // Versions are one discovery's own: another may count otherwise, so it is asked for the whole list.
+            version = None;
+            wait = BACKOFF[0];
         }
-        wait = if heard { BACKOFF[0] } else { (wait * 2).min(BACKOFF[1]) };
-        tokio::time::sleep(wait).await;
     }
 }
 
 /// One watch, from the version held on, or from the whole list.
-async fn watch(
+async fn watch_list(
     driver: &Rc<Driver>,
     address: SocketAddr,
     version: &mut Option<u64>,
@@ -187,6 +214,11 @@
         while let Some(line) = lines.next_line() {
             let list: HostList =
                 serde_json::from_slice(&line).map_err(|error| End::Malformed(error.to_string()))?;
+            // Guards against a discovery that has begun anew: changes from a version before the one held say
+            // nothing of what is held.
+            if !list.reset && version.is_some_and(|held| list.generation < held) {
+                return Err(End::Malformed("its version goes back".into()));
+            }
             driver.list(&list);
             *version = Some(list.generation);
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,7 @@
 //! The node: one program on real sockets round the decision module, as one thread.
 //!
 //! [`clients`] takes requests, [`servers`] carries attempts to the servers and [`discovery`] follows the list of
-//! servers. All they see reaches [`driver`] as an event, and it carries out what the balancer decides. Nothing
+//! servers, at the address that the latest configuration names. All they see reaches [`driver`] as an event, and it carries out what the balancer decides. Nothing
 //! here decides anything of a request: no health, no retries, no choice of a server.
 
 pub mod clients;
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod driver;
 mod log;
+mod reload;
 pub mod servers;
 
 use std::io;
@@ -75,13 +76,17 @@
 
 async fn node(config: Config) -> Result<(), NodeError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(system("listen for SIGTERM"))?;
+    // SIGHUP ends a process that does not listen for it, so this stands before the node says that it is ready.
+    let reload = signal(SignalKind::hangup()).map_err(system("listen for SIGHUP"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(system("listen for SIGINT"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(system("listen for clients"))?;
     let address = listener.local_addr().map_err(system("listen for clients"))?;
     let driver = Driver::start(&config)?;
     log::line(format_args!("serves on {address}"));
     let known = Some(config.known.generation).filter(|_| !config.known.instances.is_empty());
-    tokio::task::spawn_local(discovery::follow(Rc::clone(&driver), config.discovery, config.push, known));
+    let (moves, addresses) = watch::channel(config.discovery);
+    tokio::task::spawn_local(discovery::follow(Rc::clone(&driver), addresses, config.push, known));
+    tokio::task::spawn_local(reload::follow(reload, moves));
     let (phase, phases) = watch::channel(Phase::Serving);
     let last_answer = driver.names.rules.iter().map(|rule| rule.longest).max().unwrap_or_default();
     let places = config.limits.client_connections();
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -215,6 +215,17 @@
     }
 }
 
+impl Watch {
+    /// Whether the node has ended it.
+    pub fn is_closed(&mut self) -> bool {
+        self.stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        match self.stream.read(&mut [0; 1]) {
+            Ok(n) => n == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
 /// The settings of the tests: a safe, a keyed and an unsafe class.
 pub fn settings(deadline_ms: u64) -> String {
     let class = |name: &str, effect: &str| {
@@ -314,7 +325,19 @@
     }
 
     pub fn terminate(&self) {
-        let status = Command::new("kill").arg(self.child.id().to_string()).status().expect("kill");
+        self.signal("-TERM");
+    }
+
+    /// Replaces its configuration and tells it so.
+    pub fn reload(&self, config: &str) {
+        let next = self.config.with_extension("next");
+        std::fs::write(&next, config).expect("a file");
+        std::fs::rename(&next, &self.config).expect("a file");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().expect("kill");
         assert!(status.success());
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -401,6 +401,47 @@
     });
 }
 
+/// Guards against SIGHUP ending the process, and against a node that stays with a discovery of the past.
+#[test]
+fn sighup_moves_the_watch_to_the_discovery_of_the_new_file() {
+    let servers: Vec<_> = (0..3).map(|n| Server::start(move |_| Reply::ok(&n.to_string()))).collect();
+    let (node, old, mut watch) = Node::with(&[&servers[0]], 15_000);
+    watch.say(&format!("{}\n", list(70, false, &[])));
+    let mut left = vec![(old, watch)];
+    for n in [1, 2, 0] {
+        let discovery = Discovery::start();
+        let text = config(discovery.address, &list(1, true, &[]), &settings(15_000));
+        node.reload(&text);
+        let mut watch = discovery.watch();
+        assert!(!watch.asked.contains("from="), "its versions are its own: {}", watch.asked);
+        let id = format!("s-{n}");
+        watch.say(&format!("{}\n", list(3, true, &[servers[n].entry(&id, "ready")])));
+        until("requests go to the server that it names", || {
+            node.ask(&read("a", "15000m")).body == n.to_string().as_bytes()
+        });
+        let (_, before) = left.last_mut().expect("one");
+        assert!(before.is_closed(), "the one before is left");
+        left.push((discovery, watch));
+        // A broken file changes nothing, whatever is wrong with it.
+        for broken in ["{".to_owned(), text.replace("\"0f\"", "7"), text.replace("127.0.0.1:0", "here")] {
+            node.reload(&broken);
+            assert_eq!(node.ask_until_taken(&read("b", "15000m")).body, n.to_string().as_bytes());
+        }
+        let (_, watch) = left.last_mut().expect("one");
+        watch.say(&format!("{}\n", list(4, true, &[servers[n].entry(&id, "ready")])));
+    }
+}
+
+/// Guards against changes that are taken as following on a list which they know nothing of.
+#[test]
+fn a_version_that_goes_back_makes_the_node_ask_for_the_whole_list() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (_node, discovery, mut watch) = Node::with(&[&server], 15_000);
+    watch.say(&format!("{}\n", list(9, false, &[])));
+    watch.say(&format!("{}\n", list(8, false, &[])));
+    assert!(!discovery.watch().asked.contains("from="));
+}
+
 #[test]
 fn a_broken_configuration_ends_with_one_line() {
     let good = config("127.0.0.1:1".parse().expect("an address"), &list(1, true, &[]), &settings(1_000));
