Give clients' places by worth, bound a request's time, refuse doubtful framing

At fault in clients.rs: place() gave one place each 10 ms at most and waited for an idle connection to leave, while heads without end and silent clients kept theirs for HEAD_TIME, 60 s; api() waited for a body for the request's own time; read_time() took signs, exponents and any size; text() took the first of repeated headers; nothing knew which ids are open; hyper drops a Content-Length beside Transfer-Encoding and a second equal one unseen (tested, all the forms). Now: places.rs knows how far each connection is, bounds each stage by name and picks who goes first (over, no whole request within 0.1 s, between requests longest, ...; a request never); accepting goes on always. framing.rs reads the heads beside hyper: 400 and a close where a length is doubtful, and nothing is read behind a body of unknown length. Repeated or unreadable Req-* headers 400, an open Req-Id 409. After a last answer the node reads on within bounds. A request's time counts from its last byte, as the protocol has it. A probe of what still reaches servers (21 requests): ids of requests open at another node, which servers answer with 400; each was tried three times and took three servers out. Five of the six tests fail without the change; who_sends_far_too_much passes on this system's loopback, where a reset does not destroy what has been received.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,12 +1,12 @@
 //! The clients' side: connections, what their requests mean, and the final answers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::convert::Infallible;
-use std::future::{poll_fn, Future};
-use std::pin::pin;
+use std::io;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::sync::Arc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,22 +16,25 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::watch;
 
 use super::driver::{Answer, Driver};
+use super::framing::Framing;
 use super::log;
+use super::places::{Guest, Place, Places, Stage};
 use super::servers::{Message, MOST_BODY};
 use crate::Effect;
 
 /// The most of a message's head that is read, and of a body that is read at a time.
 const BUFFER: usize = 32 * 1024;
-/// How long a client may take to send a request's head, or to begin another on its connection.
-const HEAD_TIME: Duration = Duration::from_secs(60);
-/// The most that is read of a body that nobody wants, and for how long.
-const MOST_DISCARDED: usize = 4 * MOST_BODY;
-const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// The most that is read after the last answer on a connection, and for how long.
+const MOST_LINGERED: usize = 64 * MOST_BODY;
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// The longest deadline that a client can mean.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(60 * 60);
 /// Wait after a connection could not be accepted, for want of descriptors say.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 
@@ -40,6 +43,17 @@
 const REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
 const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Headers that say what a request is: one that comes twice says two things.
+const OF_REQUEST: [HeaderName; 8] = [
+    REQ_ID,
+    REQ_KIND,
+    REQ_OWNER,
+    REQ_DEADLINE,
+    IDEMPOTENCY_KEY,
+    HeaderName::from_static("req-retry"),
+    HeaderName::from_static("req-cost"),
+    HeaderName::from_static("req-extra"),
+];
 /// Headers that concern one connection alone, or that are written anew for the next.
 const OF_CONNECTION: [HeaderName; 9] = [
     header::CONNECTION,
@@ -68,8 +82,8 @@
 struct Hall {
     driver: Rc<Driver>,
     phases: watch::Receiver<Phase>,
-    /// Wakes the connection that has waited longest to leave, where there is no place for a new one.
-    crowded: Notify,
+    /// The ids of the requests that are being read or served.
+    open: RefCell<HashSet<HeaderValue>>,
 }
 
 /// Serves clients until the phase is [`Phase::Closing`] and all that was taken is answered, `last_answer` after
@@ -81,104 +95,204 @@
     most: usize,
     last_answer: Duration,
 ) {
-    let places = Arc::new(Semaphore::new(most));
-    let hall = Rc::new(Hall { driver, phases: phases.clone(), crowded: Notify::new() });
-    let mut phases = phases;
+    let places = Places::new(most);
+    let hall = Rc::new(Hall { driver, phases: phases.clone(), open: RefCell::default() });
+    let end = async {
+        accept(&listener, &places, &hall, phases).await;
+        drop(listener);
+        if tokio::time::timeout(last_answer, places.all_left()).await.is_err() {
+            log::line("a client did not take its answer in time");
+        }
+    };
+    tokio::select! {
+        () = end => {}
+        () = places.look_over() => {}
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    places: &Rc<Places>,
+    hall: &Rc<Hall>,
+    mut phases: watch::Receiver<Phase>,
+) {
     let mut closing = pin!(phases.wait_for(|phase| *phase == Phase::Closing));
     loop {
-        let accepted = async {
-            // Guards the limit on descriptors: what is beyond waits in the system's queue.
-            let place = place(&places, &hall.crowded).await;
-            (listener.accept().await, place)
-        };
         // What has come is taken before the end of the hand-over is looked at: it would be reset.
-        let (accepted, place) = tokio::select! {
+        let accepted = tokio::select! {
             biased;
-            accepted = accepted => accepted,
-            _ = &mut closing => break,
+            accepted = listener.accept() => accepted,
+            _ = &mut closing => return,
         };
         match accepted {
-            Ok((stream, _)) => drop(tokio::task::spawn_local(connection(stream, Rc::clone(&hall), place))),
+            Ok((stream, _)) => {
+                let guest = places.take().await;
+                drop(tokio::task::spawn_local(connection(stream, Rc::clone(hall), guest)));
+            }
             Err(error) => {
                 log::line(format_args!("cannot accept a connection: {error}"));
                 tokio::time::sleep(ACCEPT_AGAIN).await;
             }
         }
     }
-    drop(listener);
-    // Every connection holds a place until it ends.
-    let all = u32::try_from(most).unwrap_or(u32::MAX);
-    if tokio::time::timeout(last_answer, places.acquire_many(all)).await.is_err() {
-        log::line("a client did not take its answer in time");
+}
+
+/// A client's socket: what is read is noted for its framing and its place. hyper has one hold on it and the
+/// connection's task another, so that it outlives hyper's use of it.
+#[derive(Clone)]
+struct Socket {
+    stream: Rc<RefCell<TcpStream>>,
+    framing: Rc<RefCell<Framing>>,
+    place: Rc<Place>,
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
+        let read = &buf.filled()[before..];
+        if !read.is_empty() {
+            self.framing.borrow_mut().push(read);
+            if matches!(self.place.stage(), Stage::Silent | Stage::Idle) {
+                self.place.enter(Stage::Head);
+            }
+        }
+        result
     }
 }
 
-/// A place for one more connection, one that stands between requests being closed for it if there is none.
-async fn place(places: &Arc<Semaphore>, crowded: &Notify) -> Option<OwnedSemaphorePermit> {
-    loop {
-        let place = tokio::time::timeout(ACCEPT_AGAIN, Arc::clone(places).acquire_owned()).await;
-        match place {
-            Ok(place) => return place.ok(),
-            Err(_) => crowded.notify_one(),
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.borrow().is_write_vectored()
+    }
+
+    /// hyper flushes once it has written all that it holds: then the answer is out.
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.place.stage() == Stage::Answer {
+            self.place.enter(Stage::Idle);
         }
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
-async fn connection(stream: TcpStream, hall: Rc<Hall>, _place: Option<OwnedSemaphorePermit>) {
+async fn connection(stream: TcpStream, hall: Rc<Hall>, guest: Guest) {
     if let Err(error) = stream.set_nodelay(true) {
         return log::line(format_args!("cannot set up a connection: {error}"));
     }
-    let busy = Cell::new(false);
+    let place = Rc::clone(&guest.place);
+    let socket = Socket { stream: Rc::new(RefCell::new(stream)), framing: Rc::default(), place };
+    if converse(&socket, &hall).await == Left::ByItself {
+        linger(&socket).await;
+    }
+}
+
+/// How hyper's part of a connection ended.
+#[derive(PartialEq)]
+enum Left {
+    /// The client closed it, or an answer was its last.
+    ByItself,
+    /// It was told to end.
+    PutOut,
+}
+
+async fn converse(socket: &Socket, hall: &Hall) -> Left {
+    let (place, number) = (&socket.place, Cell::new(0));
     let service = service_fn(|request| {
-        let (hall, busy) = (&hall, &busy);
+        let this = number.get() + 1;
+        number.set(this);
         async move {
-            busy.set(true);
-            let mut response = respond(request, &hall.driver).await;
-            busy.set(false);
-            if *hall.phases.borrow() != Phase::Serving {
+            let due = place.request_due();
+            place.enter(Stage::Request);
+            let doubtful = socket.framing.borrow().is_doubtful(this);
+            let mut response = match doubtful {
+                true => plain(StatusCode::BAD_REQUEST, "the length is told in more than one way\n"),
+                false => respond(request, hall, due).await,
+            };
+            place.enter(Stage::Answer);
+            if *hall.phases.borrow() != Phase::Serving || socket.framing.borrow().is_last(this) {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
         }
     });
-    let connection = http1::Builder::new()
-        .max_buf_size(BUFFER)
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
-        .serve_connection(TokioIo::new(stream), service);
+    let connection =
+        http1::Builder::new().max_buf_size(BUFFER).serve_connection(TokioIo::new(socket.clone()), service);
     let mut connection = pin!(connection);
     let mut phases = hall.phases.clone();
-    let mut leave = pin!(async {
+    let mut closing = pin!(phases.wait_for(|phase| *phase == Phase::Closing));
+    let (mut is_closing, mut told) = (false, false);
+    loop {
         tokio::select! {
-            _ = phases.wait_for(|phase| *phase == Phase::Closing) => {}
-            () = hall.crowded.notified() => {}
+            biased;
+            ended = connection.as_mut() => {
+                if let Some(error) = ended.err().filter(hyper::Error::is_parse) {
+                    log::line(format_args!("a client's message is malformed: {error}"));
+                }
+                return if told { Left::PutOut } else { Left::ByItself };
+            }
+            // One between requests is closed, any other with the answer to come.
+            _ = &mut closing, if !is_closing => {
+                (is_closing, told) = (true, true);
+                connection.as_mut().graceful_shutdown();
+            }
+            () = place.asked_to_leave() => match place.stage() {
+                Stage::Request => {}
+                // Here hyper sees itself whether a request has begun, and ends at once if not.
+                Stage::Idle => {
+                    told = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+                _ => return Left::PutOut,
+            },
         }
-    });
-    // While a request is on it, a connection does not look whether it should leave.
-    let ended = poll_fn(|cx| match connection.as_mut().poll(cx) {
-        Poll::Ready(ended) => Poll::Ready(Some(ended)),
-        Poll::Pending if !busy.get() => leave.as_mut().poll(cx).map(|()| None),
-        Poll::Pending => Poll::Pending,
-    });
-    let ended = match ended.await {
-        Some(ended) => ended,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    }
+}
+
+/// Reads on after the last answer, within bounds. Guards against an answer that its client never sees: a connection
+/// that is closed with bytes unread is reset, and the answer lost with it.
+async fn linger(socket: &Socket) {
+    socket.place.enter(Stage::Over);
+    let mut socket = socket.clone();
+    let place = Rc::clone(&socket.place);
+    let reading = async {
+        socket.shutdown().await?;
+        let (mut buffer, mut left) = ([0; 4096], MOST_LINGERED);
+        loop {
+            let read = socket.read(&mut buffer).await?;
+            left = left.saturating_sub(read);
+            if read == 0 || left == 0 {
+                return Ok::<_, io::Error>(());
+            }
         }
     };
-    if let Err(error) = ended {
-        if error.is_parse() {
-            log::line(format_args!("a client's message is malformed: {error}"));
-        }
+    tokio::select! {
+        _ = reading => {}
+        () = tokio::time::sleep(LINGER_TIME) => {}
+        () = place.asked_to_leave() => {}
     }
 }
 
-async fn respond(request: Request<Incoming>, driver: &Rc<Driver>) -> Response<Full<Bytes>> {
+async fn respond(request: Request<Incoming>, hall: &Hall, due: Instant) -> Response<Full<Bytes>> {
     match request.uri().path() {
         "/up" if request.method() == Method::GET => plain(StatusCode::OK, ""),
         "/up" => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
-        "/api" => api(request, driver).await.unwrap_or_else(|(status, why)| plain(status, why)),
+        "/api" => api(request, hall, due).await.unwrap_or_else(|(status, why)| plain(status, why)),
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
@@ -191,34 +305,54 @@
 
 type Rejection = (StatusCode, &'static str);
 
+const ALREADY_OPEN: Rejection = (StatusCode::CONFLICT, "a request with this Req-Id is open\n");
 const TOO_LARGE: Rejection = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
 
 fn bad(why: &'static str) -> Rejection {
     (StatusCode::BAD_REQUEST, why)
 }
 
-async fn api(request: Request<Incoming>, driver: &Rc<Driver>) -> Result<Response<Full<Bytes>>, Rejection> {
-    let arrived = Instant::now();
+/// A request's id for as long as the request is open.
+struct OpenId<'a> {
+    ids: &'a RefCell<HashSet<HeaderValue>>,
+    id: HeaderValue,
+}
+
+impl<'a> OpenId<'a> {
+    /// Guards against two requests that go by one id: a server would take one for a copy of the other.
+    fn open(ids: &'a RefCell<HashSet<HeaderValue>>, id: HeaderValue) -> Option<Self> {
+        ids.borrow_mut().insert(id.clone()).then(|| Self { ids, id })
+    }
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+async fn api(
+    request: Request<Incoming>,
+    hall: &Hall,
+    due: Instant,
+) -> Result<Response<Full<Bytes>>, Rejection> {
+    let driver = &hall.driver;
     let (head, body) = request.into_parts();
-    let meaning = match Meaning::read(&head.method, &head.headers, driver) {
-        Ok(_) if body.size_hint().lower() > MOST_BODY as u64 => Err(TOO_LARGE),
-        meaning => meaning,
-    };
-    let meaning = match meaning {
-        Ok(meaning) => meaning,
-        Err(rejection) => {
-            discard(body).await;
-            return Err(rejection);
-        }
-    };
+    let meaning = Meaning::read(&head.method, &head.headers, driver)?;
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return Err(TOO_LARGE);
+    }
+    let _open = OpenId::open(&hall.open, meaning.id).ok_or(ALREADY_OPEN)?;
     let key = head.uri.query().and_then(key_of);
-    let body = tokio::time::timeout(meaning.time, Limited::new(body, MOST_BODY).collect());
+    let body = tokio::time::timeout_at(due.into(), Limited::new(body, MOST_BODY).collect());
     let body = match body.await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(TOO_LARGE),
         Ok(Err(_)) => return Err(bad("the body is malformed\n")),
         Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
     };
+    // A request's time counts from its last byte.
+    let arrived = Instant::now();
     let headers = end_to_end(head.headers);
     // A client may name the host in the request line, too; a server is asked by path and query.
     let uri = head.uri.path_and_query().cloned().map_or(head.uri, Into::into);
@@ -246,14 +380,9 @@
     })
 }
 
-/// Reads what is left of a body that nobody wants, within bounds. Guards against an answer that its client never
-/// sees: a connection that is closed with bytes unread is reset, and the answer lost with it.
-async fn discard(body: Incoming) {
-    let _ = tokio::time::timeout(DISCARD_TIME, Limited::new(body, MOST_DISCARDED).collect()).await;
-}
-
 /// What a request's headers say.
 struct Meaning {
+    id: HeaderValue,
     class: usize,
     tenant: usize,
     time: Duration,
@@ -261,9 +390,13 @@
 
 impl Meaning {
     fn read(method: &Method, headers: &HeaderMap, driver: &Driver) -> Result<Self, Rejection> {
-        let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+        if OF_REQUEST.iter().any(|name| headers.get_all(name).iter().nth(1).is_some()) {
+            return Err(bad("a header of the request comes twice\n"));
+        }
+        let text = |name: HeaderName| headers.get(name).map(|value| value.to_str().unwrap_or_default());
         let names = &driver.names;
-        text(REQ_ID).filter(|id| !id.is_empty()).ok_or(bad("Req-Id is missing\n"))?;
+        let id = headers.get(REQ_ID).filter(|id| id.to_str().is_ok_and(|id| !id.is_empty()));
+        let id = id.ok_or(bad("Req-Id is missing or bad\n"))?.clone();
         let class = text(REQ_KIND).and_then(|kind| names.classes.get(kind));
         let class = class.ok_or(bad("Req-Kind is missing or unknown\n"))?;
         let tenant = match text(REQ_OWNER) {
@@ -274,7 +407,10 @@
         };
         let time = text(REQ_DEADLINE).and_then(read_time).ok_or(bad("Req-Deadline is missing or bad\n"))?;
         let rule = &names.rules[class];
-        let keyed = headers.contains_key(IDEMPOTENCY_KEY);
+        let keyed = text(IDEMPOTENCY_KEY).is_some();
+        if text(IDEMPOTENCY_KEY).is_some_and(str::is_empty) {
+            return Err(bad("Idempotency-Key is empty or bad\n"));
+        }
         let (right, has_key) = match rule.effect {
             Effect::Safe => (Method::GET, false),
             Effect::Keyed { .. } => (Method::POST, true),
@@ -283,20 +419,18 @@
         if *method != right || keyed != has_key {
             return Err(bad("the method or Idempotency-Key is not the one of its Req-Kind\n"));
         }
-        Ok(Self { class, tenant, time: time.min(rule.longest) })
+        Ok(Self { id, class, tenant, time: time.min(rule.longest) })
     }
 }
 
-/// A time as `Req-Deadline` has it: `480m` is in milliseconds, `480000u` in microseconds.
+/// A time as `Req-Deadline` has it: `480m` is in milliseconds, `480000u` in microseconds. Guards against what else
+/// parses as a number: a sign, an exponent, infinity; and against times that no client can mean.
 fn read_time(text: &str) -> Option<Duration> {
-    let (number, unit) = text.trim().split_at_checked(text.trim().len().checked_sub(1)?)?;
-    let number = number.parse::<f64>().ok().filter(|n| *n > 0.0)?;
-    let seconds = match unit {
-        "m" => number / 1e3,
-        "u" => number / 1e6,
-        _ => return None,
-    };
-    Duration::try_from_secs_f64(seconds).ok()
+    let number = text.strip_suffix(['m', 'u'])?;
+    let plain = number.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let number = number.parse::<f64>().ok().filter(|n| plain && *n > 0.0)?;
+    let seconds = if text.ends_with('m') { number / 1e3 } else { number / 1e6 };
+    Duration::try_from_secs_f64(seconds).ok().filter(|time| *time <= LONGEST_DEADLINE)
 }
 
 /// The query's `key`.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,7 +8,9 @@
 pub mod config;
 pub mod discovery;
 pub mod driver;
+mod framing;
 mod log;
+mod places;
 mod reload;
 pub mod servers;
 
--- /dev/null
+++ b/src/net/places.rs
@@ -0,0 +1,184 @@
+//! The places of clients' connections: how far each is, how long it may stay so, and which one makes room for another.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+/// How long a client may take over a request, from its first byte (of the first on a connection: from connecting) to
+/// the last. Clients are in the same network and send a request as one; one that dawdles holds a place for nothing.
+pub const REQUEST_TIME: Duration = Duration::from_secs(2);
+/// How long a client may take to take its answer.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// How long a connection is kept from one request to the next: many clients never send another.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+/// How often the times are looked over.
+const LOOK: Duration = Duration::from_millis(100);
+/// A request is there as good as at once; a connection that is without a whole one for longer goes before those
+/// that stand between requests.
+const PROMPT: Duration = Duration::from_millis(100);
+/// How long a new connection waits for another to make room before one more is asked to.
+const ROOM_AGAIN: Duration = Duration::from_millis(5);
+
+/// How far a connection is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Nothing has come on it.
+    Silent,
+    /// A part of a request's head has come.
+    Head,
+    /// A request is on it: its body is read, or it is served. It ends in a time of its own and is never put out.
+    Request,
+    /// An answer is on its way out.
+    Answer,
+    /// It stands between requests.
+    Idle,
+    /// Nothing more is owed; what its client still sends is passed over.
+    Over,
+}
+
+/// A connection's place.
+#[derive(Debug)]
+pub struct Place {
+    stage: Cell<Stage>,
+    since: Cell<Instant>,
+    asked: Cell<bool>,
+    leave: Notify,
+}
+
+impl Place {
+    /// How far its connection is.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    /// Notes how far its connection is now.
+    pub fn enter(&self, stage: Stage) {
+        // The first request's time counts from connecting: silence ahead of it does not prolong it.
+        if (self.stage.replace(stage), stage) != (Stage::Silent, Stage::Head) {
+            self.since.set(Instant::now());
+        }
+        self.asked.set(false);
+    }
+
+    /// When its request must be whole.
+    #[must_use]
+    pub fn request_due(&self) -> Instant {
+        self.since.get() + REQUEST_TIME
+    }
+
+    /// Waits until the connection should end. It may have gone on meanwhile: look at its stage again.
+    pub async fn asked_to_leave(&self) {
+        self.leave.notified().await;
+    }
+
+    fn ask_to_leave(&self) {
+        self.asked.set(true);
+        self.leave.notify_one();
+    }
+
+    fn may_stay(&self) -> Duration {
+        match self.stage.get() {
+            Stage::Silent | Stage::Head => REQUEST_TIME,
+            Stage::Answer => ANSWER_TIME,
+            Stage::Idle => IDLE_TIME,
+            Stage::Request | Stage::Over => Duration::MAX,
+        }
+    }
+
+    /// The least goes first. What a client may still want comes last, and never a request.
+    fn rank(&self, now: Instant) -> Option<(u8, Instant)> {
+        let since = self.since.get();
+        let rank = match self.stage.get() {
+            _ if self.asked.get() => return None,
+            Stage::Request => return None,
+            Stage::Over => 0,
+            Stage::Silent | Stage::Head if now - since >= PROMPT => 1,
+            Stage::Idle => 2,
+            Stage::Silent | Stage::Head => 3,
+            Stage::Answer => 4,
+        };
+        Some((rank, since))
+    }
+}
+
+/// All places.
+pub struct Places {
+    most: usize,
+    next: Cell<u64>,
+    taken: RefCell<HashMap<u64, Rc<Place>>>,
+    freed: Notify,
+}
+
+impl Places {
+    /// So many at the most.
+    #[must_use]
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Self { most, next: Cell::new(0), taken: RefCell::default(), freed: Notify::new() })
+    }
+
+    /// A place for a new connection. Guards the limit on descriptors: where all are taken, the connection that is
+    /// worth least makes room, whoever came first.
+    pub async fn take(self: &Rc<Self>) -> Guest {
+        while self.taken.borrow().len() >= self.most {
+            self.ask_least();
+            let _ = tokio::time::timeout(ROOM_AGAIN, self.freed.notified()).await;
+        }
+        let number = self.next.replace(self.next.get() + 1);
+        let place = Rc::new(Place {
+            stage: Cell::new(Stage::Silent),
+            since: Cell::new(Instant::now()),
+            asked: Cell::new(false),
+            leave: Notify::new(),
+        });
+        self.taken.borrow_mut().insert(number, Rc::clone(&place));
+        Guest { places: Rc::clone(self), number, place }
+    }
+
+    fn ask_least(&self) {
+        let (taken, now) = (self.taken.borrow(), Instant::now());
+        let least = taken.values().filter_map(|p| Some((p.rank(now)?, p))).min_by_key(|(rank, _)| *rank);
+        if let Some((_, place)) = least {
+            place.ask_to_leave();
+        }
+    }
+
+    /// Asks those to leave that have been where they are for too long, for as long as it is polled.
+    pub async fn look_over(&self) {
+        let mut ticks = tokio::time::interval(LOOK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let now = ticks.tick().await.into_std();
+            for place in self.taken.borrow().values() {
+                if now.saturating_duration_since(place.since.get()) > place.may_stay() {
+                    place.ask_to_leave();
+                }
+            }
+        }
+    }
+
+    /// Waits until no place is taken.
+    pub async fn all_left(&self) {
+        while !self.taken.borrow().is_empty() {
+            self.freed.notified().await;
+        }
+    }
+}
+
+/// A place that is taken until this is dropped.
+pub struct Guest {
+    places: Rc<Places>,
+    number: u64,
+    /// The place itself.
+    pub place: Rc<Place>,
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        self.places.taken.borrow_mut().remove(&self.number);
+        self.places.freed.notify_one();
+    }
+}
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,142 @@
+//! What clients may do to a node that they should not, over loopback sockets.
+
+#[path = "common/sockets.rs"]
+mod sockets;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use sockets::*;
+
+/// A node with few places for clients, and a list of no servers.
+fn small_node() -> (Node, Discovery) {
+    let discovery = Discovery::start();
+    let text = config(discovery.address, &list(1, true, &[]), &settings(15_000)).replace("1024", "16");
+    (Node::start(&text), discovery)
+}
+
+/// Guards against a request that hides in the body of another: one reader sees one message, the next sees two.
+#[test]
+fn a_length_that_can_be_read_in_two_ways_is_refused_and_nothing_behind_it_is_read() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let hidden = read("hidden", "15000m");
+    let with = |headers: &str| {
+        let whole = post("a", "pay", "", "");
+        format!(
+            "{}{hidden}",
+            whole.replace("Content-Length: 0\r\n\r\n", &format!("{headers}\r\n\r\n0\r\n\r\n"))
+        )
+    };
+    for headers in [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+        "Content-Length: 5\r\nContent-Length: 5",
+        "Content-Length: 5\r\nContent-Length: 6",
+        "Content-Length: 5, 5",
+        "Content-Length: +5",
+        "Content-Length: -5",
+        "Content-Length: 99999999999999999999999999",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked, identity",
+    ] {
+        let mut client = node.connect();
+        client.send(&with(headers));
+        assert_eq!(client.answer().expect("an answer").status(), 400, "{headers}");
+        assert!(client.is_closed(), "{headers}");
+    }
+    assert!(server.requests().is_empty());
+    // Where only its end shows how long a body is, it is the last thing read.
+    let mut client = node.connect();
+    client.send(&with("Transfer-Encoding: chunked"));
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert!(client.is_closed());
+    assert_eq!(server.requests().len(), 1);
+}
+
+#[test]
+fn headers_that_say_two_things_or_nonsense_are_refused() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let good = read("a", "480m");
+    let twice = |header: &str| good.replace("Req-Id", &format!("{header}\r\nReq-Id"));
+    let mut cases: Vec<_> =
+        ["Req-Id: a", "Req-Kind: read", "Req-Deadline: 480m"].into_iter().map(twice).collect();
+    cases.push(twice("Req-Retry: 1\r\nReq-Retry: 1"));
+    cases.push(good.replace("Req-Id: a", "Req-Id: "));
+    cases.push(good.replace("Req-Id: a", "Req-Id: \u{e9}"));
+    cases.push(post("a", "hold", "Idempotency-Key: \r\n", "x"));
+    cases.push(post("a", "hold", "Idempotency-Key: 5\r\nIdempotency-Key: 5\r\n", "x"));
+    for deadline in ["infm", "1e9m", "+480m", "1e400m", "99999999999999m", "0m", "", "m", "4 80m", "0x1fm"] {
+        cases.push(good.replace("480m", deadline));
+    }
+    for request in cases {
+        assert_eq!(node.ask(&request).status(), 400, "{request}");
+    }
+    assert!(server.requests().is_empty());
+}
+
+/// Guards against a request that takes the id of one that is open: a server would see a second copy of that.
+#[test]
+fn an_id_that_is_open_is_not_taken_again_until_it_is_answered() {
+    let open = Arc::new(AtomicBool::new(false));
+    let gate = Arc::clone(&open);
+    let server = Server::start(move |_| {
+        until("the gate opens", || gate.load(Ordering::SeqCst));
+        Reply::ok("yes")
+    });
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let mut first = node.connect();
+    first.send(&read("a", "15000m"));
+    until("it was sent", || server.requests().len() == 1);
+    assert_eq!(node.ask(&read("a", "15000m")).status(), 409);
+    open.store(true, Ordering::SeqCst);
+    assert_eq!(first.answer().expect("an answer").status(), 200);
+    assert_eq!(node.ask_until_taken(&read("a", "15000m")).status(), 200);
+}
+
+/// Guards against clients that hold their places with nothing, or with half a request: 60 s were given them.
+#[test]
+fn a_client_that_does_not_send_a_whole_request_is_left() {
+    let (node, _discovery) = small_node();
+    let whole = post("a", "pay", "", "xx");
+    let (mut silent, mut half, mut body) = (node.connect(), node.connect(), node.connect());
+    half.send(&whole[..whole.len() / 2]);
+    body.send(&whole[..whole.len() - 1]);
+    let start = Instant::now();
+    assert_eq!(body.answer().expect("an answer").status(), 408);
+    assert!(silent.is_closed() && half.is_closed() && body.is_closed());
+    assert!(start.elapsed() < Duration::from_secs(12), "it takes about 2 s, and a body has no longer");
+}
+
+/// Guards against a crowd that sends heads without end: they keep nobody out who has a request.
+#[test]
+fn unfinished_heads_make_room_for_requests() {
+    let (node, _discovery) = small_node();
+    let mut crowd: Vec<_> = (0..40)
+        .map(|_| {
+            let mut client = node.connect();
+            client.send("GET /up HTTP/1.1\r\nHost: a\r\nX-");
+            client
+        })
+        .collect();
+    let mut client = node.connect();
+    client.send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert!(crowd.iter_mut().all(Client::is_closed));
+}
+
+/// Guards against an answer that is lost with a reset: the connection was closed on what its client still sent.
+#[test]
+fn who_sends_far_too_much_is_told_so() {
+    let (node, _discovery) = small_node();
+    let large = "x".repeat(1 << 20);
+    for request in [post("a", "pay", "", &large), format!("nonsense\r\n\r\n{large}")] {
+        let mut client = node.connect();
+        client.send(&request);
+        let status = client.answer().expect("an answer").status();
+        assert!(status == 413 || status == 400, "{status}");
+        assert!(client.ends_in_order(), "no reset overtakes the answer");
+    }
+}
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -378,6 +378,13 @@
     }
 }
 
+impl Client {
+    /// Whether the node ends the connection with its answer's end, and not with a reset.
+    pub fn ends_in_order(&mut self) -> bool {
+        matches!(self.input.read(&mut [0; 1]), Ok(0))
+    }
+}
+
 /// A request of the safe class.
 pub fn read(id: &str, deadline: &str) -> String {
     format!("GET /api?key=inn-7 HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: read\r\nReq-Deadline: {deadline}\r\n\r\n")
