Forget servers that are gone; one server at an address; drop a request's deadline with the request

Read: Driver.numbers, Servers.table and Balancer.servers grew with each id ever named, and listing, retire and make_room walked over all of them (driver.rs, entry; servers.rs, update; choice.rs, listing: resize_with); a deadline stayed in Driver.due until it came; each keyed request of an ordered class walked over all lanes (choice.rs, request). Now numbers go up and are never used twice; a gone server is forgotten by the node at once and by the module when its last attempt is over; an attempt keeps its server's entry, by which a keyed request finds its group. Where the list names a new server at an old one's address before it tells that the old one is gone, the one that started last is there, the other is gone: its idle connections and dials would have met its successor. Deadlines leave with their requests, lanes with their rest. Tests: both new ones fail without the change (the module's by its getter, servers_known).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,7 @@
 //! the lowest count and adds one, `Balancer::report` lets a fresh report overwrite its server's count.
 //! All else decides which servers may be picked, and what becomes of a request that was not served.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::interface::*;
 use crate::state::{Attempt, Held, Lane, Mean, Pace, Recent, Server};
@@ -74,12 +74,14 @@
     random: fastrand::Rng,
     now: f64,
     actions: Vec<Action>,
-    servers: Vec<Option<Server>>,
+    servers: BTreeMap<usize, Server>,
     /// The ready servers in one order for all nodes, turned so that this node's subset comes first.
     ring: Vec<usize>,
     subset: usize,
     held: HashMap<RequestId, Held>,
     lanes: HashMap<Box<str>, Lane>,
+    /// When keys have rested.
+    resting: VecDeque<(f64, Box<str>)>,
     /// When requests were taken and further attempts sent, as far back as the budget looks.
     budget: ResendBudget,
     taken: Recent,
@@ -150,6 +152,12 @@
         actions.append(&mut self.actions);
     }
 
+    /// How many servers it keeps in mind.
+    #[must_use]
+    pub fn servers_known(&self) -> usize {
+        self.servers.len()
+    }
+
     fn listing(&mut self, listing: Listing) {
         let (entries, complete) = match listing {
             Listing::Changes(entries) => (entries, false),
@@ -165,29 +173,26 @@
             self.actions.push(Action::Subscribe);
         }
         if complete {
-            for server in self.servers.iter_mut().flatten() {
+            for server in self.servers.values_mut() {
                 server.entry.availability = Availability::Gone;
             }
         }
         for entry in entries {
             let at = entry.server.0;
-            if self.servers.len() <= at {
-                self.servers.resize_with(at + 1, || None);
-            }
-            match &mut self.servers[at] {
+            match self.servers.get_mut(&at) {
                 Some(server) if server.entry.started_at == entry.started_at => server.entry = entry,
-                place => {
+                old => {
                     // What was learned of a process does not hold for its successor.
-                    let (out, threshold) = (place.as_ref().map_or(0, |old| old.out), self.random.f64());
-                    *place = Some(Server { threshold, entry, out, ..Server::default() });
+                    let (out, threshold) = (old.map_or(0, |old| old.out), self.random.f64());
+                    self.servers.insert(at, Server { threshold, entry, out, ..Server::default() });
                 }
             }
         }
+        self.servers.retain(|_, server| !server.is_over());
         // Guards against every node connecting to every server. Nodes start evenly along the ring and keep to
         // the first servers from there that may be used; a change of the list moves few of them.
-        let place =
-            |(at, s): (usize, &Option<Server>)| Some((s.as_ref().filter(|s| s.is_ready())?.entry.place, at));
-        let mut ring: Vec<_> = self.servers.iter().enumerate().filter_map(place).collect();
+        let ready = self.servers.iter().filter(|(_, server)| server.is_ready());
+        let mut ring: Vec<_> = ready.map(|(at, server)| (server.entry.place, *at)).collect();
         ring.sort_unstable();
         let start = self.settings.me * ring.len() / self.settings.nodes;
         ring.rotate_left(start);
@@ -209,7 +214,7 @@
     /// A report overwrites the count of its server alone.
     fn report(&mut self, at: usize, report: Option<Report>) {
         let reading = report.and_then(|r| r.in_flight.or(r.queued));
-        if let (Some(server), Some(reading)) = (&mut self.servers[at], reading) {
+        if let (Some(server), Some(reading)) = (self.servers.get_mut(&at), reading) {
             server.count = Some(reading);
         }
     }
@@ -256,16 +261,15 @@
         let window = now - self.settings.tip_after_ms;
         let served = self.served.after(window);
         let most = if self.probing { self.subset } else { self.ring.len() };
-        let subset = || self.ring.iter().take(most).filter_map(|at| self.servers[*at].as_ref());
+        let subset = || self.ring.iter().take(most).filter_map(|at| self.servers.get(at));
         let total: f64 = subset().map(size).sum();
         let counts = subset().filter_map(|s| Some(s.count? / size(s)));
         let mean = counts.clone().sum::<f64>() / counts.count().max(1) as f64;
-        let home = held.ran.and_then(|first| self.servers[held.attempts[first].server].as_ref());
-        let home = home.map(|s| s.entry.clone());
+        let home = held.ran.map(|first| &held.attempts[first].entry);
         let (mut found, mut candidates) = (0, Vec::new());
         for at in if held.heard.is_empty() { &self.ring } else { &held.heard }.iter().copied() {
-            let Some(server) = self.servers[at].as_mut().filter(|s| s.is_ready()) else { continue };
-            if !home.as_ref().is_none_or(|home| effect.may_move(home, &server.entry)) {
+            let Some(server) = self.servers.get_mut(&at).filter(|s| s.is_ready()) else { continue };
+            if !home.is_none_or(|home| effect.may_move(home, &server.entry)) {
                 continue;
             }
             let of = if self.probing { all } else { server.pace.or(now, half_life, of_kind(server), PRIOR) };
@@ -334,7 +338,7 @@
         self.spare_resends();
         // Guards the order of a key: its later requests wait until all before them are over.
         if let Some(key) = held.lane.clone().filter(|_| !self.too_late(&held)) {
-            self.lanes.retain(|_, lane| !lane.queue.is_empty() || lane.rests_until > now);
+            self.wake_lanes();
             let lane = self.lanes.entry(key).or_default();
             lane.queue.push_back(id);
             let (first, rest) = (lane.queue.len() == 1, lane.rests_until - now);
@@ -384,7 +388,7 @@
     }
 
     fn ask(&mut self, at: usize, id: RequestId) {
-        let server = self.servers[at].as_mut().expect("listed");
+        let server = self.servers.get_mut(&at).expect("listed");
         if server.asked.is_empty() {
             self.actions.push(Action::Probe { server: ServerId(at) });
         }
@@ -396,7 +400,7 @@
     }
 
     fn probed(&mut self, at: usize, elapsed_ms: f64, report: Option<Report>) {
-        let Some(server) = self.servers.get_mut(at).and_then(Option::as_mut) else { return };
+        let Some(server) = self.servers.get_mut(&at) else { return };
         let waiting = std::mem::take(&mut server.asked);
         let Some(report) = report else { return };
         self.report(at, Some(report));
@@ -429,13 +433,27 @@
         }
     }
 
+    /// Forgets the keys that have rested and that nobody waits for; all rest equally long, so they come in order.
+    fn wake_lanes(&mut self) {
+        while self.resting.front().is_some_and(|(until, _)| *until <= self.now) {
+            let Some((_, key)) = self.resting.pop_front() else { return };
+            if self.lanes.get(&key).is_some_and(|l| l.queue.is_empty() && l.rests_until <= self.now) {
+                self.lanes.remove(&key);
+            }
+        }
+    }
+
     /// A request is over, with no attempt out: the next one of its key may run.
     fn over(&mut self, id: RequestId, key: Option<&str>) {
         let Some(lane) = key.and_then(|key| self.lanes.get_mut(key)) else { return };
         let was = lane.queue.front().copied();
         lane.queue.retain(|waits| *waits != id);
-        let Some(next) = lane.queue.front().copied().filter(|_| was == Some(id)) else { return };
         let rest = lane.rests_until - self.now;
+        if lane.queue.is_empty() && rest <= 0.0 {
+            self.lanes.remove(key.unwrap_or_default());
+            return;
+        }
+        let Some(next) = lane.queue.front().copied().filter(|_| was == Some(id)) else { return };
         if rest > 0.0 {
             return self.set(next, TURN, rest);
         }
@@ -488,7 +506,7 @@
     }
 
     fn send(&mut self, id: RequestId, held: &mut Held, at: usize) {
-        let server = self.servers[at].as_mut().expect("picked");
+        let server = self.servers.get_mut(&at).expect("picked");
         // Guards against idle connections that are dropped unseen. A few are used, to see when that ends.
         let mut idle = server.met && server.out == 0 && self.now - server.used_at > self.aim;
         if idle && self.lost[1].mean > self.lost[0].mean + LOST_MORE && self.random.f64() > GAIN {
@@ -509,7 +527,16 @@
         // What an answer takes where so many requests are, by what all servers have shown.
         let deep = if self.probing { depth / self.all.depth.mean.max(1.0) } else { 1.0 };
         let expected = self.all.latency.mean * deep;
-        held.attempts.push(Attempt { server: at, sent_at: self.now, depth, expected, idle, open: true });
+        let entry = server.entry.clone();
+        held.attempts.push(Attempt {
+            server: at,
+            entry,
+            sent_at: self.now,
+            depth,
+            expected,
+            idle,
+            open: true,
+        });
         held.ran = held.ran.or(Some(held.attempts.len() - 1));
         self.actions.push(Action::Send { request: id, server: ServerId(at) });
         if self.probing && self.settings.cancel && expected > 0.0 && self.may_repeat(held) {
@@ -528,12 +555,17 @@
         held.attempts[tried].open = false;
         self.report(held.attempts[tried].server, outcome.report);
         self.judge(&held, &held.attempts[tried], outcome);
+        let at = held.attempts[tried].server;
+        if self.servers.get(&at).is_some_and(Server::is_over) {
+            self.servers.remove(&at);
+        }
         if held.ran == Some(tried) && !outcome.ending.may_have_run() {
             held.ran = None;
         }
         let may_run = matches!(outcome.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled);
         if let Some(lane) = held.lane.as_deref().filter(|_| may_run).and_then(|key| self.lanes.get_mut(key)) {
             lane.rests_until = self.now + self.settings.key_quiet_ms;
+            self.resting.extend(held.lane.clone().map(|key| (lane.rests_until, key)));
         }
         held.answered |= outcome.complete;
         self.place(id, held);
@@ -588,7 +620,7 @@
         let (at, depth, elapsed) = (attempt.server, attempt.depth, outcome.elapsed_ms.max(0.001));
         let (now, half_life, class, whom) = (self.now, self.half_life, held.class, held.whom);
         let (usual, expected) = (self.classes[class], attempt.expected);
-        let server = self.servers[at].as_mut().expect("sent to");
+        let server = self.servers.get_mut(&at).expect("sent to");
         server.out = server.out.saturating_sub(1);
         server.used_at = now;
         if !held.answered {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 
-/// A server, numbered by the embedding node: small numbers, never reused for another server.
+/// A server, numbered by the embedding node; a number is never used again for another server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub usize);
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,8 +1,8 @@
 //! The driver: it owns the balancer, brings it every event with its time, and carries out each action.
 
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -15,8 +15,8 @@
 use super::servers::{Ended, Message, Served, Servers, Slot};
 use crate::wire::WireError;
 use crate::{
-    Action, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request, RequestId, ServerEntry,
-    ServerId,
+    Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request, RequestId,
+    ServerEntry, ServerId,
 };
 
 /// An answer must reach the client within its time: this much before its end the node stops waiting.
@@ -99,14 +99,18 @@
     /// The names of the settings.
     pub names: SettingNames,
     servers: Servers,
+    /// The servers that discovery names now, by their ids. One that is gone is forgotten, and gets another number
+    /// if it comes back: what is still under way to the first cannot be taken for the second's.
     numbers: RefCell<HashMap<String, ServerId>>,
+    next_server: Cell<usize>,
     max_attempts: usize,
     most_held: usize,
     next_request: Cell<u64>,
     open: RefCell<HashMap<u64, Open>>,
     events: RefCell<VecDeque<Event>>,
     handling: Cell<bool>,
-    due: RefCell<BinaryHeap<Reverse<(Instant, Due)>>>,
+    /// What is to be done when; the deadline of a request that is over is taken out.
+    due: RefCell<BTreeSet<(Instant, Due)>>,
     earlier: Notify,
     /// Tells discovery that the balancer asks for the list's changes.
     pub subscribe: Notify,
@@ -163,6 +167,7 @@
             names,
             servers: Servers::new(config),
             numbers: RefCell::default(),
+            next_server: Cell::new(0),
             max_attempts,
             most_held: config.most_held,
             next_request: Cell::new(0),
@@ -191,38 +196,57 @@
     }
 
     fn listing(self: &Rc<Self>, list: &HostList, kind: fn(Vec<ServerEntry>) -> Listing) {
-        let entries: Vec<_> = list.instances.iter().filter_map(discovery::Host::read).collect();
+        let hosts: Vec<_> = list.instances.iter().filter_map(discovery::Host::read).collect();
         if !matches!(kind(Vec::new()), Listing::Changes(_)) {
-            self.close_missing(&entries);
+            self.forget_missing(&hosts);
         }
-        let entries = entries.iter().map(|host| self.entry(host)).collect();
+        let entries = hosts.iter().flat_map(|host| self.entries(host)).collect();
         self.feed(Event::Servers(kind(entries)));
     }
 
     /// A server that a full list does not name is gone.
-    fn close_missing(&self, hosts: &[discovery::Host]) {
-        let listed: Vec<&str> = hosts.iter().map(|host| host.id.as_str()).collect();
-        for (id, number) in self.numbers.borrow().iter() {
-            if !listed.contains(&id.as_str()) {
-                self.servers.leave(*number);
+    fn forget_missing(&self, hosts: &[discovery::Host]) {
+        let listed: HashSet<&str> = hosts.iter().map(|host| host.id.as_str()).collect();
+        self.numbers.borrow_mut().retain(|id, number| {
+            let stays = listed.contains(id.as_str());
+            if !stays {
+                self.servers.forget(*number);
             }
-        }
+            stays
+        });
     }
 
-    fn entry(&self, host: &discovery::Host) -> ServerEntry {
+    /// What the balancer is told of a host: that it is there, or that it is gone, or that another is gone for it.
+    fn entries(&self, host: &discovery::Host) -> Vec<ServerEntry> {
         let mut numbers = self.numbers.borrow_mut();
-        let next = ServerId(numbers.len());
-        let server = *numbers.entry(host.id.clone()).or_insert(next);
-        self.servers.update(server, host);
-        ServerEntry {
-            server,
+        if host.availability == Availability::Gone {
+            let gone = numbers.remove(&host.id);
+            return gone.map(|number| self.entry_of_gone(number)).into_iter().collect();
+        }
+        let number = *numbers.entry(host.id.clone()).or_insert_with(|| {
+            let next = self.next_server.get();
+            self.next_server.set(next + 1);
+            ServerId(next)
+        });
+        let replaced = self.servers.update(number, host);
+        if let Some(replaced) = replaced {
+            numbers.retain(|_, at| *at != replaced);
+        }
+        let there = (replaced != Some(number)).then(|| ServerEntry {
+            server: number,
             place: crate::wire::spread(&host.id),
             availability: host.availability,
             started_at: Some(host.started_at_ms).filter(|t| *t > 0.0),
             cell: host.cell,
             zone: self.names.zones.get(&host.zone).unwrap_or(0),
             kind: self.names.kinds.get(&host.kind).unwrap_or(0),
-        }
+        });
+        replaced.map(|replaced| self.entry_of_gone(replaced)).into_iter().chain(there).collect()
+    }
+
+    fn entry_of_gone(&self, number: ServerId) -> ServerEntry {
+        self.servers.forget(number);
+        ServerEntry::new(number, Availability::Gone)
     }
 
     /// Takes a request that arrived at `arrived`. `None`: the node holds as many as it may.
@@ -377,8 +401,11 @@
     /// Forgets a request that is owed nothing and has nothing out.
     fn forget(&self, number: u64) {
         let mut open = self.open.borrow_mut();
-        if open.get(&number).is_some_and(|request| request.answer.is_none() && request.out.is_none()) {
-            open.remove(&number);
+        if let Entry::Occupied(entry) = open.entry(number) {
+            if entry.get().answer.is_none() && entry.get().out.is_none() {
+                let over = entry.remove();
+                self.due.borrow_mut().remove(&(over.deadline, Due::Deadline(number)));
+            }
         }
     }
 
@@ -397,16 +424,16 @@
     }
 
     fn wake_at(&self, at: Instant, due: Due) {
-        let mut heap = self.due.borrow_mut();
-        if heap.peek().is_none_or(|Reverse((first, _))| at < *first) {
+        let mut all = self.due.borrow_mut();
+        if all.first().is_none_or(|(first, _)| at < *first) {
             self.earlier.notify_one();
         }
-        heap.push(Reverse((at, due)));
+        all.insert((at, due));
     }
 
     async fn wake_up(self: Rc<Self>) {
         loop {
-            let first = self.due.borrow().peek().map(|Reverse((at, _))| *at);
+            let first = self.due.borrow().first().map(|(at, _)| *at);
             match first {
                 Some(at) => tokio::select! {
                     () = tokio::time::sleep_until(at.into()) => {}
@@ -425,9 +452,9 @@
     }
 
     fn next_due(&self) -> Option<(Instant, Due)> {
-        let mut heap = self.due.borrow_mut();
-        let due = heap.peek().is_some_and(|Reverse((at, _))| *at <= Instant::now());
-        due.then(|| heap.pop()).flatten().map(|Reverse(due)| due)
+        let mut all = self.due.borrow_mut();
+        let is_due = all.first().is_some_and(|(at, _)| *at <= Instant::now());
+        is_due.then(|| all.pop_first()).flatten()
     }
 
     async fn sweep(self: Rc<Self>) {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,6 +1,7 @@
 //! Connections to servers and the attempts on them: what goes out, what comes back, and which outcome that is.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::mem::MaybeUninit;
@@ -311,10 +312,11 @@
 }
 
 /// A server as its connections know it.
+#[derive(Default)]
 struct Server {
     address: Option<SocketAddr>,
     started_at_ms: f64,
-    /// When its grace ends, of one that drains or is gone.
+    /// When its grace ends, of one that drains.
     closes_at: Option<Instant>,
     /// The freshest last.
     idle: Vec<Conn>,
@@ -322,7 +324,9 @@
 
 /// The connections to all servers.
 pub struct Servers {
-    table: RefCell<Vec<Server>>,
+    table: RefCell<HashMap<ServerId, Server>>,
+    /// Who is at an address.
+    holders: RefCell<HashMap<SocketAddr, ServerId>>,
     open: Rc<Cell<usize>>,
     most_open: usize,
     dial_timeout: Duration,
@@ -336,6 +340,7 @@
     pub fn new(config: &Config) -> Self {
         Self {
             table: RefCell::default(),
+            holders: RefCell::default(),
             open: Rc::default(),
             most_open: config.limits.server_connections(),
             dial_timeout: config.dial_timeout,
@@ -344,40 +349,52 @@
         }
     }
 
-    /// Takes what discovery says of a server; idle connections to one that is somewhere else or has started
-    /// anew are of no more use.
-    pub fn update(&self, at: ServerId, host: &Host) {
-        {
-            let mut table = self.table.borrow_mut();
-            while table.len() <= at.0 {
-                table.push(Server { address: None, started_at_ms: 0.0, closes_at: None, idle: Vec::new() });
-            }
-            let server = &mut table[at.0];
-            let moved = host.address.is_some() && server.address != host.address;
-            if moved || server.started_at_ms.to_bits() != host.started_at_ms.to_bits() {
-                server.idle.clear();
-            }
-            server.address = host.address.or(server.address);
-            server.started_at_ms = host.started_at_ms;
-            if host.availability == Availability::Ready {
-                server.closes_at = None;
-                return;
-            }
+    /// Takes what discovery says of a server that is there; idle connections to one that is somewhere else or has
+    /// started anew are of no more use. Tells which server cannot be there any more: there is one at an address, the
+    /// one that started last. What is meant for one that is gone must not reach its successor.
+    pub fn update(&self, at: ServerId, host: &Host) -> Option<ServerId> {
+        let mut table = self.table.borrow_mut();
+        let server = table.entry(at).or_default();
+        let moved = host.address.is_some() && server.address != host.address;
+        if moved || server.started_at_ms.to_bits() != host.started_at_ms.to_bits() {
+            server.idle.clear();
         }
-        self.leave(at);
-    }
-
-    /// A server drains or is gone: from the end of its grace nothing goes there.
-    pub fn leave(&self, at: ServerId) {
-        if let Some(server) = self.table.borrow_mut().get_mut(at.0) {
+        let before = server.address;
+        server.address = host.address.or(before);
+        server.started_at_ms = host.started_at_ms;
+        if host.availability == Availability::Ready {
+            server.closes_at = None;
+        } else {
             server.idle.clear();
             server.closes_at.get_or_insert_with(|| Instant::now() + self.drain_grace);
         }
+        let address = server.address?;
+        let mut holders = self.holders.borrow_mut();
+        if let Some(before) = before.filter(|before| *before != address && holders.get(before) == Some(&at)) {
+            holders.remove(&before);
+        }
+        let other = *holders.get(&address).filter(|other| **other != at).unwrap_or(&at);
+        let is_later = table.get(&other).is_some_and(|o| o.started_at_ms > host.started_at_ms);
+        if other != at && (is_later || host.availability != Availability::Ready) {
+            return Some(at);
+        }
+        holders.insert(address, at);
+        Some(other).filter(|other| *other != at)
+    }
+
+    /// Forgets a server that is gone: nothing goes there any more, and the connections that are in use are closed
+    /// with their answers.
+    pub fn forget(&self, at: ServerId) {
+        let Some(gone) = self.table.borrow_mut().remove(&at) else { return };
+        let mut holders = self.holders.borrow_mut();
+        if let Some(address) = gone.address.filter(|address| holders.get(address) == Some(&at)) {
+            holders.remove(&address);
+        }
     }
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, at: ServerId) {
-        if let Some(server) = self.table.borrow_mut().get_mut(at.0) {
+        if let Some(server) = self.table.borrow_mut().get_mut(&at) {
             server.idle.clear();
         }
     }
@@ -385,7 +402,7 @@
     /// Closes connections that have stood idle too long or that their servers have closed.
     pub fn retire(&self) {
         let now = Instant::now();
-        for server in self.table.borrow_mut().iter_mut() {
+        for server in self.table.borrow_mut().values_mut() {
             server.idle.retain_mut(|conn| now - conn.idle_since < self.idle_limit && conn.is_usable());
         }
     }
@@ -393,7 +410,7 @@
     /// Whether a send to a server may begin now.
     fn is_open(&self, at: ServerId) -> bool {
         let table = self.table.borrow();
-        table.get(at.0).is_some_and(|s| s.closes_at.is_none_or(|closes| Instant::now() < closes))
+        table.get(&at).is_some_and(|s| s.closes_at.is_none_or(|closes| Instant::now() < closes))
     }
 
     /// An idle connection that is fit for use, if there is one. For one that has just had its answer it waits until
@@ -410,7 +427,7 @@
     /// The freshest idle connection that has rested, or else when one will have.
     fn freshest(&self, at: ServerId) -> Option<Result<Conn, Instant>> {
         let mut table = self.table.borrow_mut();
-        let server = table.get_mut(at.0)?;
+        let server = table.get_mut(&at)?;
         let now = Instant::now();
         while let Some(rested) = server.idle.iter().rposition(|conn| now - conn.idle_since >= REST) {
             let mut conn = server.idle.remove(rested);
@@ -429,12 +446,12 @@
             return true;
         }
         let mut table = self.table.borrow_mut();
-        let oldest = table.iter_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].idle_since);
+        let oldest = table.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].idle_since);
         oldest.map(|server| server.idle.remove(0)).is_some()
     }
 
     async fn dial(&self, at: ServerId) -> Result<Conn, Ending> {
-        let address = self.table.borrow().get(at.0).and_then(|s| s.address).ok_or(Ending::Unreachable)?;
+        let address = self.table.borrow().get(&at).and_then(|s| s.address).ok_or(Ending::Unreachable)?;
         if !self.make_room() {
             log::line("all connections to servers are in use");
             return Err(Ending::NotSent);
@@ -449,7 +466,7 @@
     fn give_back(&self, at: ServerId, slot: &Slot) {
         let Some(mut conn) = slot.0.borrow_mut().take() else { return };
         let mut table = self.table.borrow_mut();
-        let Some(server) = table.get_mut(at.0).filter(|s| s.closes_at.is_none()) else { return };
+        let Some(server) = table.get_mut(&at).filter(|s| s.closes_at.is_none()) else { return };
         if conn.is_usable() {
             conn.idle_since = Instant::now();
             server.idle.push(conn);
--- a/src/state.rs
+++ b/src/state.rs
@@ -96,11 +96,19 @@
     pub fn is_ready(&self) -> bool {
         self.entry.availability == Availability::Ready
     }
+
+    /// Whether nothing can be heard of it any more. Guards against a node that remembers every server there ever
+    /// was: what it does and keeps follows those there are.
+    pub fn is_over(&self) -> bool {
+        self.entry.availability == Availability::Gone && self.out == 0
+    }
 }
 
 /// One attempt of a request.
 pub struct Attempt {
     pub server: usize,
+    /// The server as it was then: it may be gone and forgotten before the request is over.
+    pub entry: ServerEntry,
     pub sent_at: f64,
     pub depth: f64,
     pub expected: f64,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -331,6 +331,26 @@
     assert_eq!(node.ask_until_taken(&read("s", "15000m")).body, b"new");
 }
 
+/// Guards against a server that gets what was meant for the one before it at its address: the list tells of the new
+/// one before it tells that the old one is gone.
+#[test]
+fn a_new_server_at_an_old_ones_address_does_not_get_its_connections() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery, mut watch) = Node::with(&[&server], 15_000);
+    assert_eq!(node.ask(&read("a", "15000m")).status(), 200);
+    assert_eq!((server.opened(), server.closed()), (1, 0));
+    watch.say(&format!("{}\n", list(2, false, &[server.entry("s-new", "ready")])));
+    until("the old one's connection is closed", || server.closed() == 1);
+    assert_eq!(node.ask_until_taken(&read("b", "15000m")).status(), 200);
+    // What is said of the old one later is said of one that is not there.
+    watch.say(&format!("{}\n", list(3, false, &[server.entry("s-0", "draining")])));
+    watch.say(&format!("{}\n", list(4, false, &[server.entry("s-0", "gone")])));
+    for n in 0..5 {
+        assert_eq!(node.ask_until_taken(&read(&format!("c{n}"), "15000m")).status(), 200);
+    }
+    assert_eq!(server.opened(), 2);
+}
+
 #[test]
 fn a_watch_that_ends_is_opened_again_from_where_it_was() {
     let server = Server::start(|_| Reply::ok("yes"));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -900,3 +900,21 @@
     let sent: Vec<_> = (2..4).map(|id| node.sent_to(id)).collect();
     assert!(sent.contains(&at), "{sent:?}");
 }
+
+/// Guards against a node that remembers every server there ever was; one with an attempt out is remembered until
+/// that is over.
+#[test]
+fn a_server_that_is_gone_is_forgotten_once_nothing_is_out() {
+    let mut node = Node::new(one_class(Effect::Safe), 1);
+    for n in 0..100 {
+        node.now += 10.0;
+        let entry = |availability| vec![ServerEntry::new(ServerId(n), availability)];
+        node.feed(Event::Servers(Listing::Changes(entry(Availability::Ready))));
+        let id = n as u64;
+        assert_eq!(node.sent_to(id), n);
+        node.feed(Event::Servers(Listing::Changes(entry(Availability::Gone))));
+        assert_eq!(node.balancer.servers_known(), 1, "its answer is to come");
+        assert!(!refused(&node.end(id, 0, 5.0, Ending::Served)));
+        assert_eq!(node.balancer.servers_known(), 0);
+    }
+}
