--- a/src/choice.rs
+++ b/src/choice.rs
@@ -433,7 +433,7 @@
         }
     }
 
-    /// Forgets the keys that have rested and that nobody waits for; all rest equally long, so they come in order.
+    /// Forgets keys that have rested and that nobody waits for; all rest equally long, so they come in order.
     fn wake_lanes(&mut self) {
         while self.resting.front().is_some_and(|(until, _)| *until <= self.now) {
             let Some((_, key)) = self.resting.pop_front() else { return };
