Serve on after SIGTERM for those who have a connection, until all can still be answered in time

Now connections are kept and served after SIGTERM; nothing new is taken once half of the longest deadline is left until the end that the platform promises (0.7 s and that deadline, 3 s at most), and requests taken after SIGTERM are given no longer than until 50 ms before it. Tests: what was served while handing over ended its connection before, and the test of it fails without the change.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -67,15 +67,32 @@
     HeaderName::from_static("proxy-connection"),
 ];
 
-/// How far a node is on its way out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// How far a node is on its way out. Once it is told to stop, all must be answered by an instant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     /// It serves.
     Serving,
-    /// It is told to stop: new connections still come and are served, each answer ends its connection.
-    HandOver,
-    /// No more connections are taken, and those between requests are closed.
-    Closing,
+    /// It is told to stop, and serves on: new connections still come, and clients keep to those they have.
+    HandOver(Instant),
+    /// No more connections are taken, those between requests are closed, and each answer ends its connection.
+    Closing(Instant),
+}
+
+impl Phase {
+    /// Whether nothing new is taken.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        matches!(self, Self::Closing(_))
+    }
+
+    /// By when all must be answered, where that is so.
+    #[must_use]
+    pub fn answer_by(&self) -> Option<Instant> {
+        match self {
+            Self::Serving => None,
+            Self::HandOver(by) | Self::Closing(by) => Some(*by),
+        }
+    }
 }
 
 /// What the connections of clients share.
@@ -86,21 +103,16 @@
     open: RefCell<HashSet<HeaderValue>>,
 }
 
-/// Serves clients until the phase is [`Phase::Closing`] and all that was taken is answered, `last_answer` after
-/// that at the latest: a client that does not read its answer must not hold up the end.
-pub async fn serve(
-    listener: TcpListener,
-    driver: Rc<Driver>,
-    phases: watch::Receiver<Phase>,
-    most: usize,
-    last_answer: Duration,
-) {
+/// Serves clients until the phase is [`Phase::Closing`] and all that was taken is answered, at the instant that it
+/// names at the latest: a client that does not read its answer must not hold up the end.
+pub async fn serve(listener: TcpListener, driver: Rc<Driver>, phases: watch::Receiver<Phase>, most: usize) {
     let places = Places::new(most);
     let hall = Rc::new(Hall { driver, phases: phases.clone(), open: RefCell::default() });
     let end = async {
         accept(&listener, &places, &hall, phases).await;
         drop(listener);
-        if tokio::time::timeout(last_answer, places.all_left()).await.is_err() {
+        let by = hall.phases.borrow().answer_by().unwrap_or_else(Instant::now);
+        if tokio::time::timeout_at(by.into(), places.all_left()).await.is_err() {
             log::line("a client did not take its answer in time");
         }
     };
@@ -116,7 +128,7 @@
     hall: &Rc<Hall>,
     mut phases: watch::Receiver<Phase>,
 ) {
-    let mut closing = pin!(phases.wait_for(|phase| *phase == Phase::Closing));
+    let mut closing = pin!(phases.wait_for(Phase::is_closing));
     loop {
         // What has come is taken before the end of the hand-over is looked at: it would be reset.
         let accepted = tokio::select! {
@@ -225,7 +237,7 @@
                 false => respond(request, hall, due).await,
             };
             place.enter(Stage::Answer);
-            if *hall.phases.borrow() != Phase::Serving || socket.framing.borrow().is_last(this) {
+            if hall.phases.borrow().is_closing() || socket.framing.borrow().is_last(this) {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -235,7 +247,7 @@
         http1::Builder::new().max_buf_size(BUFFER).serve_connection(TokioIo::new(socket.clone()), service);
     let mut connection = pin!(connection);
     let mut phases = hall.phases.clone();
-    let mut closing = pin!(phases.wait_for(|phase| *phase == Phase::Closing));
+    let mut closing = pin!(phases.wait_for(Phase::is_closing));
     let (mut is_closing, mut told) = (false, false);
     loop {
         tokio::select! {
@@ -351,13 +363,15 @@
         Ok(Err(_)) => return Err(bad("the body is malformed\n")),
         Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
     };
-    // A request's time counts from its last byte.
+    // A request's time counts from its last byte. Guards against a node that is ended with requests unanswered.
     let arrived = Instant::now();
+    let left = hall.phases.borrow().answer_by().map(|by| by.saturating_duration_since(arrived));
+    let time = left.map_or(meaning.time, |left| meaning.time.min(left));
     let headers = end_to_end(head.headers);
     // A client may name the host in the request line, too; a server is asked by path and query.
     let uri = head.uri.path_and_query().cloned().map_or(head.uri, Into::into);
     let message = Message { method: head.method, uri, headers, body };
-    let Some(taken) = driver.take(meaning.class, meaning.tenant, key, message, arrived, meaning.time) else {
+    let Some(taken) = driver.take(meaning.class, meaning.tenant, key, message, arrived, time) else {
         return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, ""));
     };
     Ok(match taken.answer().await {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,7 +16,7 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -27,8 +27,21 @@
 use config::{Config, ConfigError};
 use driver::Driver;
 
-/// How long a node that is told to stop goes on taking new connections: the front may deal them out for 0.4 s.
-const HAND_OVER: Duration = Duration::from_millis(500);
+/// A node that is told to stop is ended no sooner than the longest deadline, `LONGEST_WAIT` at the most, and this
+/// after; some of it is kept in hand.
+const BEFORE_THE_END: Duration = Duration::from_millis(650);
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+/// The part of the longest deadline that is left for answers once nothing new is taken.
+const LAST_PART: f64 = 0.5;
+
+/// How a node that is told to stop spends the time until it is ended: when it takes nothing new any more, and by when
+/// all is answered. Guards against clients that find nobody: a node that was restarted before this one is let in by
+/// the front a while after it is ready, and until then those who have a connection here are served here.
+fn hand_over(longest: Duration) -> (Duration, Duration) {
+    let longest = longest.min(LONGEST_WAIT);
+    let answered = BEFORE_THE_END + longest;
+    (answered - longest.mul_f64(LAST_PART), answered)
+}
 
 /// Why a node could not start or go on.
 #[derive(Debug)]
@@ -90,17 +103,19 @@
     tokio::task::spawn_local(discovery::follow(Rc::clone(&driver), addresses, config.push, known));
     tokio::task::spawn_local(reload::follow(reload, moves));
     let (phase, phases) = watch::channel(Phase::Serving);
-    let last_answer = driver.names.rules.iter().map(|rule| rule.longest).max().unwrap_or_default();
+    let longest = driver.names.rules.iter().map(|rule| rule.longest).max().unwrap_or_default();
     let places = config.limits.client_connections();
-    let clients = clients::serve(listener, Rc::clone(&driver), phases, places, last_answer);
+    let clients = clients::serve(listener, Rc::clone(&driver), phases, places);
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-        phase.send_replace(Phase::HandOver);
-        tokio::time::sleep(HAND_OVER).await;
-        phase.send_replace(Phase::Closing);
+        let (closing, answered) = hand_over(longest);
+        let by = Instant::now() + answered;
+        phase.send_replace(Phase::HandOver(by));
+        tokio::time::sleep(closing).await;
+        phase.send_replace(Phase::Closing(by));
         // The sender must live until all is answered: its end would look like one more change.
         std::future::pending::<()>().await;
     };
@@ -111,3 +126,19 @@
     driver.report_lateness();
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a node that is ended with requests unanswered, and against one that leaves its clients early.
+    #[test]
+    fn a_hand_over_fits_the_time_until_the_end() {
+        for ms in [100, 1_700, 3_000, 60_000] {
+            let longest = Duration::from_millis(ms);
+            let (closing, answered) = hand_over(longest);
+            assert!(answered < longest.min(LONGEST_WAIT) + Duration::from_millis(700));
+            assert!(closing > Duration::from_millis(600) && closing < answered, "{closing:?}");
+        }
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -398,9 +398,10 @@
 }
 
 /// Guards against requests lost between SIGTERM and the moment at which the front notices: new connections come
-/// until then, and what they carry is taken and answered. The phases are set by hand, so that no clock decides.
+/// until then, and what they carry is taken and answered; and against clients that are sent away from the one node
+/// that is there. The phases are set by hand, so that no clock decides.
 #[test]
-fn new_connections_are_served_while_a_node_hands_over() {
+fn connections_are_served_and_kept_while_a_node_hands_over() {
     let nowhere = Unreachable::start();
     let text = config(nowhere.address, &list(1, true, &[]), &settings(15_000));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -409,14 +410,21 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
-        let serving = tokio::task::spawn_local(serve(listener, driver, phases, 16, PATIENCE));
-        phase.send_replace(Phase::HandOver);
+        let serving = tokio::task::spawn_local(serve(listener, driver, phases, 16));
+        let by = Instant::now() + PATIENCE;
+        phase.send_replace(Phase::HandOver(by));
         let mut client = tokio::net::TcpStream::connect(address).await.expect("it still listens");
-        client.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n").await.expect("an open connection");
-        let mut answer = String::new();
-        client.read_to_string(&mut answer).await.expect("an answer, and the end");
-        assert!(answer.starts_with("HTTP/1.1 200 OK") && answer.contains("connection: close"), "{answer}");
-        phase.send_replace(Phase::Closing);
+        // Whoever has a connection keeps it: there may be nobody else yet.
+        for _ in 0..3 {
+            client.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n").await.expect("an open connection");
+            let mut answer = String::new();
+            while !answer.ends_with("\r\n\r\n") {
+                answer.push(char::from(client.read_u8().await.expect("an answer")));
+            }
+            assert!(answer.starts_with("HTTP/1.1 200 OK") && !answer.contains("close"), "{answer}");
+        }
+        phase.send_replace(Phase::Closing(by));
+        assert!(client.read_u8().await.is_err(), "between requests it is closed in the end");
         tokio::time::timeout(PATIENCE, serving).await.expect("it ends").expect("in order");
     });
 }
