--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -918,3 +918,25 @@
         assert_eq!(node.balancer.servers_known(), 0);
     }
 }
+
+/// Guards against refusals beside servers that stand idle: where answers take long there, that is the way and the
+/// work, and no queue. One that reports a queue is refused for, as before.
+#[test]
+fn a_server_that_reports_to_be_idle_is_not_too_busy() {
+    for (reported, none_refused) in [(0.0, true), (5.0, false)] {
+        let mut settings = one_class(Effect::Safe);
+        settings.nodes = 1_000; // Else an idle server would be tried all the same, now and then.
+        let mut node = Node::new(settings, 1);
+        node.servers(ready(0..2));
+        let mut refusals = 0;
+        for id in 0..60 {
+            node.now += 10.0;
+            let actions = node.request(id, 0, 800.0);
+            refusals += usize::from(refused(&actions));
+            if send_of(&actions).is_some() {
+                node.report(id, 0, 390.0, Ending::Served, Some(reported));
+            }
+        }
+        assert_eq!(refusals == 0, none_refused, "{refusals} refusals where {reported} are reported");
+    }
+}
