--- a/src/choice.rs
+++ b/src/choice.rs
@@ -291,7 +291,7 @@
             // Guards against servers that turn away one tenant, or class, alone.
             let full = server.full_for.iter().any(|f| f.0 == held.whom && f.1 > now);
             let out = server.ejected_until.is_some_and(|until| until > now || server.out > 0);
-            // Guards against refusals beside servers that stand idle: what their answers take is then no queue.
+            // Guards against refusals beside servers that stand idle: what answers take there is no queue.
             let idle = server.out == 0 && count <= IDLE;
             // Guards against refusals without end: all nodes together go on trying an idle server.
             let idle_long = server.out == 0 && now - server.pace.at > self.aim * nodes / TRIALS;
