--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,9 @@
 //! The node: one program on real sockets round the decision module, as one thread.
 //!
-//! [`clients`] takes requests (`places` says who may stay, `framing` where a message ends), [`servers`] carries attempts to the servers and [`discovery`] follows the list of
-//! servers, at the address that the latest configuration names. All they see reaches [`driver`] as an event, and it carries out what the balancer decides. Nothing
-//! here decides anything of a request: no health, no retries, no choice of a server.
+//! [`clients`] takes requests (`places` says who may stay, `framing` where a message ends), [`servers`] carries
+//! attempts to the servers and [`discovery`] follows the list of servers, at the address that the latest
+//! configuration names. All they see reaches [`driver`] as an event, and it carries out what the balancer decides.
+//! Nothing here decides anything of a request: no health, no retries, no choice of a server.
 
 pub mod clients;
 pub mod config;
