Send to a server that has few requests rather than refuse

Cause, of the refusals in the first 10 s and at a node that is alone or has just started. Held against them is the wait: (out + 1) x latency / depth, which takes an answer of 45 ms from a far server (30 of them the way) to be 90 ms with a second request; hold-place may wait 36 ms and avail-read 50. Lines: choice.rs, candidates, the exception for idle servers (none out, one in all), too narrow where load is such that each has one. Ruled out: servers taken out wrongly, missing reports, retries (none refused for want of them). Both tests fail without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,7 +40,8 @@
 const ASK_PART: f64 = 0.02;
 const LOST_MORE: f64 = 0.2; // Idle connections are closed before use where so much more is lost on them.
 const AGAIN: f64 = 0.125; // An overdue attempt is asked after again after this part of a mean aim.
-const IDLE: f64 = 1.0; // A server with this count at the most, and nothing of ours, has no queue.
+/// A server with so many of ours out and this count at the most has no queue to speak of.
+const NO_QUEUE: (usize, f64) = (2, 3.0);
 const FEW: usize = 2; // Servers among which the lowest count decides where reports are old.
 const TRIALS: f64 = 2.0; // All nodes together try an idle server about this often in a mean aim.
 /// The longest wait before a new subscription, as a part of what may pass without; the shortest is a 16th.
@@ -291,15 +292,17 @@
             // Guards against servers that turn away one tenant, or class, alone.
             let full = server.full_for.iter().any(|f| f.0 == held.whom && f.1 > now);
             let out = server.ejected_until.is_some_and(|until| until > now || server.out > 0);
-            // Guards against refusals beside servers that stand idle: what answers take there is no queue.
-            let idle = server.out == 0 && count <= IDLE;
+            // Guards against refusals beside servers that have room: what answers take there is work and the
+            // way, no queue. It covers few servers left, a node alone and one just started. It could hurt
+            // where servers serve one at a time, or reports are old: so our own out are bounded as well.
+            let room = server.out <= NO_QUEUE.0 && count <= NO_QUEUE.1;
             // Guards against refusals without end: all nodes together go on trying an idle server.
             let idle_long = server.out == 0 && now - server.pace.at > self.aim * nodes / TRIALS;
             candidates.push(Candidate {
                 server: at,
                 wait: if self.probing { count + 1.0 } else { server.out as f64 + 1.0 } * pace,
                 rank: if self.probing { count } else { count * pace },
-                untested: if self.probing { count == 0.0 } else { self.informed && (idle || idle_long) },
+                untested: if self.probing { count == 0.0 } else { self.informed && (room || idle_long) },
                 healthy: !full && !out,
                 near: server.entry.zone == self.settings.zone,
                 met: server.met || age < self.settings.cold_ms,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -249,6 +249,29 @@
     assert!(wait > 0.0 && wait < 15.0, "{wait}");
 }
 
+/// Guards against refusals beside a far server: its answers take most of what a request may wait for, and it has
+/// room for more than one all the same.
+#[test]
+fn a_far_server_is_sent_more_than_one_request_at_a_time() {
+    let seen = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&seen);
+    let server = Server::start(move |_| {
+        match counted.fetch_add(1, Ordering::SeqCst) {
+            0 => std::thread::sleep(Duration::from_millis(2_600)),
+            _ => until("two are there at a time", || counted.load(Ordering::SeqCst) == 3),
+        }
+        Reply::Say(answer("200 OK", "Srv-Load: TEXT active=0, waiting=0\r\n", "yes"))
+    });
+    let (node, _discovery, _watch) = Node::with(&[&server], 10_000);
+    assert_eq!(node.ask(&read("a", "10000m")).status(), 200);
+    let (mut one, mut other) = (node.connect(), node.connect());
+    one.send(&read("b", "10000m"));
+    until("the first is there", || seen.load(Ordering::SeqCst) == 2);
+    other.send(&read("c", "10000m"));
+    assert_eq!(other.answer().expect("an answer").status(), 200);
+    assert_eq!(one.answer().expect("an answer").status(), 200);
+}
+
 #[test]
 fn with_no_server_the_answer_is_a_refusal() {
     let (node, _discovery, _watch) = Node::with(&[], 15_000);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -940,3 +940,24 @@
         assert_eq!(refusals == 0, none_refused, "{refusals} refusals where {reported} are reported");
     }
 }
+
+/// Guards against a wait that is taken to double with the second request: a server serves some side by side, and the
+/// way to it does not queue. From the fourth of its own on, or where others hold many there, a node refuses again.
+#[test]
+fn a_server_with_few_requests_has_room_for_one_more() {
+    for (reported, taken) in [(0.0, 3), (2.0, 2), (5.0, 0)] {
+        let mut settings = one_class(Effect::Safe);
+        settings.nodes = 1_000; // Else an idle server would be tried all the same, now and then.
+        let mut node = Node::new(settings, 1);
+        node.servers(ready(0..1));
+        for id in 0..60 {
+            node.now += 10.0;
+            let served = send_of(&node.request(id, 0, 800.0)).is_some();
+            if served {
+                node.report(id, 0, 390.0, Ending::Served, Some(reported));
+            }
+        }
+        let sent = (60..66).filter(|id| send_of(&node.request(*id, 0, 800.0)).is_some()).count();
+        assert_eq!(sent, taken, "where {reported} are reported");
+    }
+}
