Take no server out for one broken or silent connection

Lines: choice.rs, judge: Reset always failed, TimedOut failed and counted as load. Now a reset takes a server out at the second in a row, and a time-out only where the server has answered nothing that was sent later; else it says nothing of load either.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,7 +46,9 @@
 const TRIALS: f64 = 2.0; // All nodes together try an idle server about this often in a mean aim.
 /// The longest wait before a new subscription, as a part of what may pass without; the shortest is a 16th.
 const RESUBSCRIBE_MOST: f64 = 0.25;
-const SPOILT_ROW: usize = 3; // Spoilt answers one after another that are no accident.
+/// Spoilt answers, and connections broken under a request, one after another that are no accident.
+const SPOILT_ROW: usize = 3;
+const BROKEN_ROW: usize = 2;
 const COLD_PART: f64 = 0.5; // Of a cold server's budget: sizes are guesses, arrivals come in bunches.
 const WAIT_PART: f64 = 0.95; // Part of its time after which a request that still waits is answered.
 const EDGE_MS: f64 = 1.0; // The windows of the budget are counted this much on the safe side.
@@ -634,13 +636,20 @@
             self.lost[usize::from(attempt.idle)].add(f64::from(u8::from(lost)), GAIN);
         }
         server.spoilt = if outcome.ending == Ending::Spoilt { server.spoilt + 1 } else { 0 };
+        server.broken = if outcome.ending == Ending::Reset { server.broken + 1 } else { 0 };
+        // Guards against taking a connection that fell silent for a server that hangs or is crowded: that one
+        // has answered what was sent later.
+        let overtaken = server.answered_sent_at > attempt.sent_at;
         let failed = match outcome.ending {
             Ending::Served => false,
-            // Guards against taking out good servers for what any of them does at times.
+            // Guards against taking out good servers for what any of them, or the way to it, does at times.
             Ending::Spoilt => server.spoilt >= SPOILT_ROW,
+            Ending::Reset => server.broken >= BROKEN_ROW,
             // A time-out shorter than an answer may ordinarily take says nothing of the server.
-            Ending::TimedOut => elapsed >= (usual.mean + DEVIATIONS * usual.deviation) * expected,
-            Ending::Error | Ending::Unreachable | Ending::Reset => true,
+            Ending::TimedOut => {
+                !overtaken && elapsed >= (usual.mean + DEVIATIONS * usual.deviation) * expected
+            }
+            Ending::Error | Ending::Unreachable => true,
             Ending::Full => {
                 server.full_for.retain(|f| f.0 != whom);
                 server.full_for.push((whom, now + EJECT * self.aim));
@@ -649,7 +658,7 @@
             Ending::Cancelled | Ending::NotSent | Ending::Rejected => return,
         };
         // Where counts are fresh a time-out tells of the answer, not of the load.
-        let late = outcome.ending == Ending::TimedOut && !self.probing;
+        let late = outcome.ending == Ending::TimedOut && !self.probing && !overtaken;
         if outcome.ending == Ending::Served || late {
             self.all.add(now, MEMORY * self.aim, elapsed, depth, GAIN / 4.0);
             let ratio = if expected > 0.0 { elapsed / expected } else { 1.0 };
@@ -662,6 +671,7 @@
         server.met = !matches!(outcome.ending, Ending::Unreachable | Ending::Reset);
         if outcome.ending == Ending::Served {
             self.served.push(now);
+            server.answered_sent_at = server.answered_sent_at.max(attempt.sent_at);
             if server.ejected_until.take().is_some() {
                 self.actions.push(Action::Note(format!("server {at} is back")));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,10 @@
     pub ejected_until: Option<f64>, // Past this it is on trial.
     /// Spoilt answers since the last outcome of another kind.
     pub spoilt: usize,
+    /// Connections that broke under a request since the last outcome of another kind.
+    pub broken: usize,
+    /// When the latest of the requests that it has answered was sent.
+    pub answered_sent_at: f64,
     /// Whom it turned away as full, and until when it is spared them.
     pub full_for: Vec<(usize, f64)>,
     /// When this node sent to it while it was cold.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -961,3 +961,45 @@
         assert_eq!(sent, taken, "where {reported} are reported");
     }
 }
+
+/// Guards against taking out one server after another for connections that break now and then; the second in a row is
+/// no accident.
+#[test]
+fn one_broken_connection_takes_no_server_out() {
+    for (breaks, stays) in [(1, true), (2, false)] {
+        let mut node = Node::new(one_class(Effect::Safe), 1);
+        node.servers(ready(0..2));
+        for id in 0..breaks {
+            // The other server is not listed meanwhile, so that all go to the first.
+            node.servers(ready(0..1));
+            node.sent_to(id);
+            node.servers(ready(0..2));
+            node.end(id, 0, 1.0, Ending::Reset);
+        }
+        node.now += 10.0;
+        let met = (10..40).any(|id| node.sent_to(id) == 0);
+        assert_eq!(met, stays, "after {breaks}");
+    }
+}
+
+/// Guards against taking a connection that fell silent for a server that hangs: it has answered what was sent later.
+/// One that has not is taken out.
+#[test]
+fn a_time_out_that_later_requests_overtook_takes_no_server_out() {
+    for answers in [true, false] {
+        let mut node = Node::new(one_class(Effect::Safe), 1);
+        node.servers(ready(0..1));
+        node.sent_to(0);
+        node.now += 10.0;
+        node.sent_to(1);
+        node.now += 20.0;
+        if answers {
+            node.end(1, 0, 20.0, Ending::Served);
+        }
+        node.servers(ready(0..2));
+        node.now += 770.0;
+        node.end(0, 0, 800.0, Ending::TimedOut);
+        let met = (10..30).any(|id| send_of(&node.request(id, 0, 800.0)) == Some(0));
+        assert_eq!(met, answers);
+    }
+}
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -98,3 +98,24 @@
     assert_eq!((rejected.status(), rejected.body.as_slice()), (400, b"an id of nobody\n".as_slice()));
     assert_eq!(server.requests().len(), 1);
 }
+
+/// Guards against servers that stand unused because a connection to them broke once.
+#[test]
+fn a_server_is_sent_to_again_after_one_broken_connection() {
+    let first = std::sync::Arc::new(AtomicUsize::new(0));
+    let servers: Vec<_> = (0..2)
+        .map(|_| {
+            let first = std::sync::Arc::clone(&first);
+            Server::start(move |_| match first.fetch_add(1, Ordering::SeqCst) {
+                0 => Reply::Close,
+                _ => Reply::ok("yes"),
+            })
+        })
+        .collect();
+    let (node, _discovery, _watch) = Node::with(&[&servers[0], &servers[1]], 15_000);
+    for n in 0..10 {
+        assert_eq!(node.ask_until_taken(&read(&n.to_string(), "15000m")).status(), 200);
+    }
+    let asked: Vec<_> = servers.iter().map(|server| server.requests().len()).collect();
+    assert!(asked.iter().all(|n| *n > 2), "{asked:?}");
+}
