Pass on answers of up to 1 MiB that tell their length

Now a body that tells its length may have 1 MiB; it is held while an eighth of the node's memory has room for all such (counted until the client has it), else it is cut off as before. Where no length is told it stays at 64 KiB. It could hurt where servers send what is too large on purpose: that costs the time it takes to come, 250 ms at the most.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -64,11 +64,13 @@
 pub struct Limits {
     /// File descriptors.
     pub sockets: usize,
+    /// Memory, in MB.
+    pub memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { sockets: 1024 }
+        Self { sockets: 1024, memory_mb: 64 }
     }
 }
 
@@ -79,6 +81,13 @@
         (self.sockets / 2).max(1)
     }
 
+    /// Bytes of large answers that are held at a time: an eighth of the memory, as one that is being put together takes
+    /// its size twice.
+    #[must_use]
+    pub fn large_answers(self) -> usize {
+        self.memory_mb.saturating_mul(1024 * 1024 / 8)
+    }
+
     /// Connections to servers: three eighths; what remains is for discovery and the system.
     #[must_use]
     pub fn server_connections(self) -> usize {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
@@ -29,8 +31,11 @@
 use super::log;
 use crate::{Availability, Ending, Report, ServerId};
 
-/// The largest body of a message.
+/// The largest body of a message that is held without a look at what else is.
 pub const MOST_BODY: usize = 64 * 1024;
+/// The largest body of an answer that tells its length: beyond what messages ordinarily have, and few enough bytes to be
+/// there within `ANSWER_STALL`.
+const MOST_LARGE: usize = 1024 * 1024;
 /// The most of a message's head that is read, and of a body that is read at a time.
 const BUFFER: usize = 32 * 1024;
 /// The most that comes ahead of and with an answer: its head, its body and its chunks' own lines, and some 1xx.
@@ -96,6 +101,8 @@
     tail: Cell<[u8; 4]>,
     /// Something came.
     came: Notify,
+    /// What a large answer may bring beyond `MOST_ANSWER`.
+    large: Cell<usize>,
     /// Whether more came than any answer has.
     flooded: Cell<bool>,
     /// Whether the next read must ask the system itself.
@@ -107,6 +114,7 @@
         self.written.set(0);
         self.whole.set(false);
         self.read.set(0);
+        self.large.set(0);
         self.tail.set([0; 4]);
     }
 
@@ -186,7 +194,7 @@
         let read = &buf.filled()[before..];
         if !read.is_empty() {
             self.traffic.note_read(read);
-            if self.traffic.read.get() > MOST_ANSWER {
+            if self.traffic.read.get() > MOST_ANSWER + self.traffic.large.get() {
                 self.traffic.flooded.set(true);
                 return Poll::Ready(Err(io::Error::other("more came than any answer has")));
             }
@@ -322,6 +330,46 @@
     idle: Vec<Conn>,
 }
 
+/// Room for large answers. Guards the limit on memory: servers could fill it with answers of ordinary number.
+#[derive(Clone)]
+struct Room(Arc<AtomicUsize>);
+
+impl Room {
+    fn new(bytes: usize) -> Self {
+        Self(Arc::new(AtomicUsize::new(bytes)))
+    }
+
+    /// Takes so many bytes until the share is dropped, if there are as many.
+    fn take(&self, bytes: usize) -> Option<Share> {
+        let left = self.0.load(Ordering::Relaxed).checked_sub(bytes)?;
+        self.0.store(left, Ordering::Relaxed); // One thread alone takes and gives.
+        Some(Share { room: self.clone(), bytes })
+    }
+}
+
+struct Share {
+    room: Room,
+    bytes: usize,
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.room.0.fetch_add(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// A large body, for as long as any part of it is held.
+struct Large {
+    body: Bytes,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Large {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 /// The connections to all servers.
 pub struct Servers {
     table: RefCell<HashMap<ServerId, Server>>,
@@ -329,6 +377,7 @@
     holders: RefCell<HashMap<SocketAddr, ServerId>>,
     open: Rc<Cell<usize>>,
     most_open: usize,
+    large: Room,
     dial_timeout: Duration,
     idle_limit: Duration,
     drain_grace: Duration,
@@ -343,6 +392,7 @@
             holders: RefCell::default(),
             open: Rc::default(),
             most_open: config.limits.server_connections(),
+            large: Room::new(config.limits.large_answers()),
             dial_timeout: config.dial_timeout,
             idle_limit: config.idle_limit.mul_f64(IDLE_PART),
             drain_grace: config.drain_grace,
@@ -491,7 +541,7 @@
         traffic.begin();
         *slot.0.borrow_mut() = Some(conn);
         let request = request(message, deadline - now);
-        let ended = exchange(request, slot, &traffic).await;
+        let ended = exchange(request, slot, &traffic, &self.large).await;
         let ended = ended.unwrap_or_else(|broken| {
             slot.close();
             // An answer is only looked at once the request is out; what breaks before that never ran.
@@ -514,7 +564,12 @@
     Answer,
 }
 
-async fn exchange(request: Request<Full<Bytes>>, slot: &Slot, traffic: &Traffic) -> Result<Ended, Broken> {
+async fn exchange(
+    request: Request<Full<Bytes>>,
+    slot: &Slot,
+    traffic: &Traffic,
+    large: &Room,
+) -> Result<Ended, Broken> {
     let answer = {
         let mut conn = slot.0.borrow_mut();
         conn.as_mut().ok_or(Broken::Connection)?.sender.send_request(request)
@@ -527,7 +582,7 @@
         }
     };
     match answer {
-        Ok(answer) => read_answer(answer, slot).await,
+        Ok(answer) => read_answer(answer, slot, traffic, large).await,
         Err(error) if error.is_parse() || traffic.flooded.get() => {
             log::line(format_args!("a server's answer is malformed: {error}"));
             Err(Broken::Answer)
@@ -549,11 +604,16 @@
     request
 }
 
-async fn read_answer(answer: Response<Incoming>, slot: &Slot) -> Result<Ended, Broken> {
+async fn read_answer(
+    answer: Response<Incoming>,
+    slot: &Slot,
+    traffic: &Traffic,
+    large: &Room,
+) -> Result<Ended, Broken> {
     let (head, body) = answer.into_parts();
     let report = head.headers.get("srv-load").and_then(read_report);
     let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
-    let body = read_body(&head, body, slot).await;
+    let body = read_body(&head, body, slot, traffic, large).await;
     if body.is_err() {
         slot.close();
     }
@@ -580,19 +640,34 @@
 }
 
 /// Reads an answer's body. Guards against one that is too large, stops short or has no end.
-async fn read_body(head: &Parts, body: Incoming, slot: &Slot) -> Result<Bytes, Broken> {
+async fn read_body(
+    head: &Parts,
+    body: Incoming,
+    slot: &Slot,
+    traffic: &Traffic,
+    large: &Room,
+) -> Result<Bytes, Broken> {
     let size = body.size_hint();
     // Only the end of the connection shows the end of a body of no stated length, and it must have been announced.
     let chunked = head.headers.contains_key(TRANSFER_ENCODING);
     let closes = head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
     let endless = size.exact().is_none() && !chunked && !closes;
-    if size.lower() > MOST_BODY as u64 || endless {
+    let told = usize::try_from(size.exact().unwrap_or(0)).unwrap_or(usize::MAX);
+    let share = if told > MOST_BODY { large.take(told) } else { None };
+    if endless || told > MOST_LARGE || (told > MOST_BODY && share.is_none()) {
         log::line("a server's answer is too large or does not tell its length");
         return Err(Broken::Answer);
     }
-    let whole = tokio::time::timeout(ANSWER_STALL, Limited::new(body, MOST_BODY).collect());
+    traffic.large.set(share.as_ref().map_or(0, |share| share.bytes));
+    let whole = tokio::time::timeout(ANSWER_STALL, Limited::new(body, told.max(MOST_BODY)).collect());
     match slot.drive(whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => {
+            let body = body.to_bytes();
+            Ok(match share {
+                Some(share) => Bytes::from_owner(Large { body, _share: share }),
+                None => body,
+            })
+        }
         Ok(Err(error)) if error.downcast_ref::<hyper::Error>().is_some_and(|e| e.is_incomplete_message()) => {
             Err(Broken::Connection)
         }
@@ -631,6 +706,21 @@
     use super::*;
     use std::io::Write;
 
+    /// Guards against large answers that fill the memory, and against room that is not given back.
+    #[test]
+    fn large_answers_are_held_while_there_is_room() {
+        let room = Room::new(100);
+        let first = room.take(60).expect("room");
+        assert!(room.take(60).is_none());
+        let body = Bytes::from_owner(Large { body: Bytes::from_static(b"yes"), _share: first });
+        let part = body.slice(1..);
+        drop(body);
+        assert!(room.take(60).is_none(), "a part is held yet");
+        assert_eq!(part, "es");
+        drop(part);
+        assert!(room.take(100).is_some());
+    }
+
     /// Guards against bytes that come as the next request goes out, before the event loop has heard of them: they
     /// would be taken for its answer. Nothing is written then, so that nothing has run.
     #[tokio::test]
