Follow Consul beside the roster, with an operators' file and a checked command line

Without it the list goes straight to the driver, as before. What a host is has a room of its own (crates/membership), and src/net/roster.rs reads the platform's words: discovery, driver and servers no longer import each other round it. The testkit has a Consul stand-in from the published API pages, also as a program of its own, and clients that go on asking.

--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -457,6 +457,11 @@
         }
     }
 
+    /// Whether it says nothing.
+    pub fn is_forgotten(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Forgets all that the source said.
     pub fn forget(&mut self) -> Affected {
         let affected = self.keys();
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -88,6 +88,22 @@
         }
     }
 
+    /// One more source, of which nothing is known yet. A source of the same name that was forgotten is followed again
+    /// in its place, so that sources that come and go do not grow the view.
+    pub fn add(&mut self, trust: Trust) -> SourceId {
+        let same = self.sources.iter().position(|held| held.trust.name == trust.name && held.is_forgotten());
+        match same {
+            Some(at) => {
+                self.sources[at] = Source::new(trust);
+                at
+            }
+            None => {
+                self.sources.push(Source::new(trust));
+                self.sources.len() - 1
+            }
+        }
+    }
+
     /// Takes one event that happened at `now` (milliseconds of Unix time, never backwards) and appends what is to be
     /// done. An event of a source that is not there is passed over.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
@@ -292,7 +308,11 @@
             Some(Verdict::Draining) => State::Draining,
             _ => State::Gone,
         };
-        let told = facts.filter(|_| state != State::Gone).map(|facts| Host { state, ..facts });
+        // Nothing can be sent to a server of which nobody says where it is.
+        let is_there = |facts: &Host| facts.address.is_some() || state == State::Draining;
+        let told = facts
+            .filter(|facts| state != State::Gone && is_there(facts))
+            .map(|facts| Host { state, ..facts });
         if told == server.told {
             return;
         }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -15,13 +15,16 @@
 // A kit for tests fails loudly: what it needs and does not get ends the test that asked for it.
 #![allow(clippy::missing_panics_doc)]
 
+pub mod consul;
 mod discovery;
 pub mod link;
+mod load;
 mod message;
 mod node;
 mod server;
 
 pub use discovery::{entry, list, Discovery, Watch};
+pub use load::{Load, Totals};
 pub use message::{answer, post, read, Message};
 pub use node::{config, program, program_path, settings, write_config, Client, Node};
 pub use server::{Reply, Server, Unreachable};
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -2,8 +2,9 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 use crate::discovery::{list, Discovery, Watch};
@@ -44,6 +45,8 @@
     /// Where it serves.
     pub address: SocketAddr,
     config: PathBuf,
+    operators: Option<PathBuf>,
+    log: Arc<Mutex<Vec<String>>>,
 }
 
 /// Writes a file of its own for a test.
@@ -81,20 +84,50 @@
     /// Starts it and waits until it serves.
     #[must_use]
     pub fn start(config: &str) -> Self {
+        Self::start_with(config, None)
+    }
+
+    /// The same, with an operators' file.
+    #[must_use]
+    pub fn start_with(config: &str, operators: Option<&str>) -> Self {
         let config = write_config(config);
+        let operators = operators.map(write_config);
+        let mut command = program();
+        if let Some(operators) = &operators {
+            command.arg("--config").arg(operators);
+        }
         let mut child =
-            program().env("ROUTER_CONFIG", &config).stderr(Stdio::piped()).spawn().expect("it starts");
-        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+            command.env("ROUTER_CONFIG", &config).stderr(Stdio::piped()).spawn().expect("it starts");
+        let mut input = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
-        log.read_line(&mut line).expect("a log");
+        input.read_line(&mut line).expect("a log");
         let address = line.trim_end().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("it did not say where it serves: {line}"));
-        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| println!("{line}")));
-        let node = Self { child, address, config };
+        let log = Arc::<Mutex<Vec<String>>>::default();
+        let lines = Arc::clone(&log);
+        thread::spawn(move || {
+            for line in input.lines().map_while(Result::ok) {
+                println!("{line}");
+                lines.lock().expect("sound").push(line);
+            }
+        });
+        let node = Self { child, address, config, operators, log };
         until("/up answers 200", || node.ask("GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200);
         node
     }
 
+    /// The lines of its log so far, but for the first.
+    #[must_use]
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().expect("sound").clone()
+    }
+
+    /// Its process, for figures of the system.
+    #[must_use]
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// A node that knows these servers, with its discovery and the open watch.
     #[must_use]
     pub fn with(servers: &[&Server], deadline_ms: u64) -> (Self, Discovery, Watch) {
@@ -110,9 +143,7 @@
     /// A connection to it.
     #[must_use]
     pub fn connect(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("it listens");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
-        Client { input: BufReader::new(stream) }
+        Client::connect(self.address)
     }
 
     /// The answer to a request on a connection of its own.
@@ -144,9 +175,13 @@
 
     /// Replaces its configuration and tells it so.
     pub fn reload(&self, config: &str) {
-        let next = self.config.with_extension("next");
-        std::fs::write(&next, config).expect("a file");
-        std::fs::rename(&next, &self.config).expect("a file");
+        replace(&self.config, config);
+        self.signal("-HUP");
+    }
+
+    /// Replaces its operators' file and tells it so.
+    pub fn reload_operators(&self, operators: &str) {
+        replace(self.operators.as_deref().expect("it was started with one"), operators);
         self.signal("-HUP");
     }
 
@@ -171,15 +206,36 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        self.operators.as_ref().map(std::fs::remove_file);
     }
 }
 
+fn replace(file: &Path, text: &str) {
+    let next = file.with_extension("next");
+    std::fs::write(&next, text).expect("a file");
+    std::fs::rename(&next, file).expect("a file");
+}
+
 /// A client's connection.
 pub struct Client {
     input: BufReader<TcpStream>,
 }
 
 impl Client {
+    /// A connection to a node.
+    #[must_use]
+    pub fn connect(node: SocketAddr) -> Self {
+        let stream = TcpStream::connect(node).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        Self { input: BufReader::new(stream) }
+    }
+
+    /// Sends text as it is; `false`: the connection has ended.
+    #[must_use]
+    pub fn try_send(&mut self, text: &str) -> bool {
+        self.input.get_mut().write_all(text.as_bytes()).is_ok()
+    }
+
     /// Sends text as it is.
     pub fn send(&mut self, text: &str) {
         self.input.get_mut().write_all(text.as_bytes()).expect("an open connection");
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::message::{answer, Message};
 
@@ -34,6 +34,7 @@
 #[derive(Default)]
 struct Seen {
     requests: Vec<Message>,
+    arrivals: Vec<Instant>,
     opened: usize,
     closed: usize,
 }
@@ -68,7 +69,11 @@
     fn connection(mut stream: TcpStream, seen: &Mutex<Seen>, reply: &dyn Fn(&Message) -> Reply) {
         let mut input = BufReader::new(stream.try_clone().expect("a socket"));
         while let Some(request) = Message::read(&mut input) {
-            seen.lock().expect("sound").requests.push(request.clone());
+            {
+                let mut seen = seen.lock().expect("sound");
+                seen.requests.push(request.clone());
+                seen.arrivals.push(Instant::now());
+            }
             match reply(&request) {
                 Reply::Say(text) => stream.write_all(&text).unwrap_or_default(),
                 Reply::SayAndClose(text) => return stream.write_all(&text).unwrap_or_default(),
@@ -89,6 +94,12 @@
         self.seen.lock().expect("sound").requests.clone()
     }
 
+    /// When the requests' last bytes had come, in the same order.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.seen.lock().expect("sound").arrivals.clone()
+    }
+
     /// Connections that have come.
     #[must_use]
     pub fn opened(&self) -> usize {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,17 +1,71 @@
-//! A load-balancing node. `ROUTER_CONFIG` names its configuration.
+//! A load-balancing node. `ROUTER_CONFIG` names its configuration; an operators' file may be named beside it.
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use silverthread::net::{config::Config, run};
+use clap::{Parser, Subcommand};
+use silverthread::net::operators::Operators;
+use silverthread::net::{config::Config, run, Extras};
+use silverthread::wire::one_line;
+
+/// The variable that names the operators' file where the command line does not.
+const VARIABLE: &str = "SILVERTHREAD_CONFIG";
+/// Wrong use or configuration.
+const WRONG: u8 = 2;
+
+/// A load-balancing node. ROUTER_CONFIG names the platform's configuration; without arguments the node runs by that
+/// alone.
+#[derive(Parser)]
+#[command(version)]
+struct CommandLine {
+    /// The operators' file; SILVERTHREAD_CONFIG names it, too.
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Reads an operators' file and says what is wrong with it or what it turns on.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+}
 
 fn main() -> ExitCode {
+    let line = CommandLine::parse();
+    if let Some(Command::Check { file }) = line.command {
+        return check(&file);
+    }
     end_on_panic();
-    match Config::from_environment().map_err(Into::into).and_then(run) {
+    let file =
+        line.config.or_else(|| std::env::var_os(VARIABLE).filter(|f| !f.is_empty()).map(PathBuf::from));
+    let operators = match file.as_deref().map(Operators::read).transpose() {
+        Ok(operators) => operators.unwrap_or_default(),
+        Err(error) => return fail(&error, WRONG),
+    };
+    let extras = Extras { operators, file };
+    match Config::from_environment().map_err(Into::into).and_then(|config| run(config, extras)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("silverthread: {}", silverthread::wire::one_line(&error.to_string()));
-            ExitCode::FAILURE
+        Err(error) => fail(&error, 1),
+    }
+}
+
+fn fail(error: &dyn std::error::Error, code: u8) -> ExitCode {
+    eprintln!("silverthread: {}", one_line(&error.to_string()));
+    code.into()
+}
+
+fn check(file: &Path) -> ExitCode {
+    match Operators::read(file) {
+        Ok(operators) => {
+            println!("{}: sound", file.display());
+            operators.summary().iter().for_each(|line| println!("  {line}"));
+            ExitCode::SUCCESS
         }
+        Err(error) => fail(&error, WRONG),
     }
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,15 +11,12 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
-use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use super::config::HostList;
-use super::driver::Driver;
 use super::log;
-use crate::Availability;
+use super::members::Members;
 
 /// An empty line comes every 2 s while nothing changes; a watch that says nothing for this long is dead.
 const SILENCE: Duration = Duration::from_secs(5);
@@ -30,75 +27,6 @@
 /// The longest line.
 const MOST_LINE: usize = 4 << 20;
 
-/// An entry of the list.
-#[derive(Debug, PartialEq)]
-pub struct Host {
-    /// The server's id, the same at every node.
-    pub id: String,
-    /// Where this node reaches it.
-    pub address: Option<SocketAddr>,
-    /// Whether it takes requests.
-    pub availability: Availability,
-    /// Its zone's name.
-    pub zone: String,
-    /// Its machine kind's name.
-    pub kind: String,
-    /// Its cell.
-    pub cell: usize,
-    /// When it last started, in Unix time; 0 for long ago.
-    pub started_at_ms: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Raw {
-    instance_id: String,
-    #[serde(default)]
-    host_port: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    machine_type: String,
-    #[serde(default)]
-    cell: usize,
-    lifecycle: String,
-    #[serde(default)]
-    started_at_ms: f64,
-}
-
-impl Host {
-    /// Reads an entry; one that makes no sense is logged and passed over.
-    #[must_use]
-    pub fn read(value: &Value) -> Option<Self> {
-        let raw = Raw::deserialize(value)
-            .map_err(|error| log::line(format_args!("an entry of the list of servers is malformed: {error}")))
-            .ok()?;
-        let availability = match raw.lifecycle.as_str() {
-            "ready" => Availability::Ready,
-            "draining" => Availability::Draining,
-            "gone" => Availability::Gone,
-            other => {
-                log::line(format_args!("the list of servers has an unknown lifecycle: {other:?}"));
-                return None;
-            }
-        };
-        let address = raw.host_port.parse().ok();
-        if address.is_none() && availability == Availability::Ready {
-            log::line(format_args!("the list of servers has a bad address: {:?}", raw.host_port));
-            return None;
-        }
-        Some(Self {
-            id: raw.instance_id,
-            address,
-            availability,
-            zone: raw.zone,
-            kind: raw.machine_type,
-            cell: raw.cell,
-            started_at_ms: raw.started_at_ms,
-        })
-    }
-}
-
 /// What the lines of a watch are cut from, however they come in pieces.
 #[derive(Debug, Default)]
 pub struct Lines(BytesMut);
@@ -145,7 +73,7 @@
 /// Follows the list for as long as the node runs, at the latest address. Where changes do not come by themselves,
 /// each watch is one that the balancer asked for, and it hears of its end.
 pub async fn follow(
-    driver: Rc<Driver>,
+    members: Rc<Members>,
     mut addresses: watch::Receiver<SocketAddr>,
     push: bool,
     mut version: Option<u64>,
@@ -154,12 +82,12 @@
     let mut moved = false;
     loop {
         if !push && !moved {
-            driver.subscribe.notified().await;
+            members.driver().subscribe.notified().await;
         }
         let address = *addresses.borrow_and_update();
         let mut heard = false;
         let end = tokio::select! {
-            Err(end) = watch_list(&driver, address, &mut version, &mut heard) => Some(end),
+            Err(end) = watch_list(&members, address, &mut version, &mut heard) => Some(end),
             Ok(()) = addresses.changed() => None,
         };
         moved = match end {
@@ -175,8 +103,9 @@
             None => true,
         };
         if !moved {
+            members.roster_lost();
             if !push {
-                driver.list_failed();
+                members.driver().list_failed();
             }
             wait = if heard { BACKOFF[0] } else { (wait * 2).min(BACKOFF[1]) };
             // Guards against a node that waits for an address of no more use.
@@ -195,7 +124,7 @@
 
 /// One watch, from the version held on, or from the whole list.
 async fn watch_list(
-    driver: &Rc<Driver>,
+    members: &Rc<Members>,
     address: SocketAddr,
     version: &mut Option<u64>,
     heard: &mut bool,
@@ -219,7 +148,7 @@
             if !list.reset && version.is_some_and(|held| list.generation < held) {
                 return Err(End::Malformed("its version goes back".into()));
             }
-            driver.list(&list);
+            members.roster(&list);
             *version = Some(list.generation);
         }
         if lines.0.len() > MOST_LINE {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,12 +6,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use membership::{Host, State};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 
-use super::config::{Config, ConfigError, HostList, Names};
-use super::discovery;
+use super::config::{Config, ConfigError, Names};
 use super::log;
+use super::roster;
 use super::servers::{Ended, Message, Served, Servers, Slot};
 use crate::wire::WireError;
 use crate::{
@@ -86,6 +87,14 @@
     matches!(ending, Ending::Served | Ending::Rejected)
 }
 
+fn availability(state: State) -> Availability {
+    match state {
+        State::Ready => Availability::Ready,
+        State::Draining => Availability::Draining,
+        State::Gone => Availability::Gone,
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Timer(u64),
@@ -179,15 +188,26 @@
             subscribe: Notify::new(),
             latest: Cell::default(),
         });
-        driver.listing(&config.known, Listing::Cached);
+        driver.listing(&roster::read_all(&config.known), Listing::Cached);
         tokio::task::spawn_local(Rc::clone(&driver).wake_up());
         tokio::task::spawn_local(Rc::clone(&driver).sweep());
         Ok(driver)
     }
 
-    /// Takes a list or a change of it.
-    pub fn list(self: &Rc<Self>, list: &HostList) {
-        self.listing(list, if list.reset { Listing::Full } else { Listing::Changes });
+    /// Takes the whole list of servers.
+    pub fn list(self: &Rc<Self>, hosts: &[Host]) {
+        self.listing(hosts, Listing::Full);
+    }
+
+    /// Takes the servers that changed.
+    pub fn changes(self: &Rc<Self>, hosts: &[Host]) {
+        self.listing(hosts, Listing::Changes);
+    }
+
+    /// The time by the driver's clock, in milliseconds of Unix time; it never runs backwards.
+    #[must_use]
+    pub fn now_ms(&self) -> f64 {
+        self.clock.now_ms()
     }
 
     /// The list could not be had, or its changes come no more.
@@ -195,17 +215,16 @@
         self.feed(Event::Servers(Listing::Failed));
     }
 
-    fn listing(self: &Rc<Self>, list: &HostList, kind: fn(Vec<ServerEntry>) -> Listing) {
-        let hosts: Vec<_> = list.instances.iter().filter_map(discovery::Host::read).collect();
+    fn listing(self: &Rc<Self>, hosts: &[Host], kind: fn(Vec<ServerEntry>) -> Listing) {
         if !matches!(kind(Vec::new()), Listing::Changes(_)) {
-            self.forget_missing(&hosts);
+            self.forget_missing(hosts);
         }
         let entries = hosts.iter().flat_map(|host| self.entries(host)).collect();
         self.feed(Event::Servers(kind(entries)));
     }
 
     /// A server that a full list does not name is gone.
-    fn forget_missing(&self, hosts: &[discovery::Host]) {
+    fn forget_missing(&self, hosts: &[Host]) {
         let listed: HashSet<&str> = hosts.iter().map(|host| host.id.as_str()).collect();
         self.numbers.borrow_mut().retain(|id, number| {
             let stays = listed.contains(id.as_str());
@@ -217,9 +236,9 @@
     }
 
     /// What the balancer is told of a host: that it is there, or that it is gone, or that another is gone for it.
-    fn entries(&self, host: &discovery::Host) -> Vec<ServerEntry> {
+    fn entries(&self, host: &Host) -> Vec<ServerEntry> {
         let mut numbers = self.numbers.borrow_mut();
-        if host.availability == Availability::Gone {
+        if host.state == State::Gone {
             let gone = numbers.remove(&host.id);
             return gone.map(|number| self.entry_of_gone(number)).into_iter().collect();
         }
@@ -235,9 +254,9 @@
         let there = (replaced != Some(number)).then(|| ServerEntry {
             server: number,
             place: crate::wire::spread(&host.id),
-            availability: host.availability,
+            availability: availability(host.state),
             started_at: Some(host.started_at_ms).filter(|t| *t > 0.0),
-            cell: host.cell,
+            cell: host.cell.unwrap_or(0),
             zone: self.names.zones.get(&host.zone).unwrap_or(0),
             kind: self.names.kinds.get(&host.kind).unwrap_or(0),
         });
--- /dev/null
+++ b/src/net/members.rs
@@ -0,0 +1,171 @@
+//! The list of servers on its way to the driver: straight from the roster, or, where an operators' file is named,
+//! through the view that is merged from the roster and other sources.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use membership::{Action, Authority, Event, Host, List, Membership, SourceId, State, Trust, Word};
+use tokio::sync::Notify;
+
+use super::config::HostList;
+use super::driver::Driver;
+use super::log;
+use super::roster;
+
+/// The roster's place among the sources.
+const ROSTER: SourceId = 0;
+
+/// Takes what the sources say and brings the driver what changes.
+pub struct Members {
+    driver: Rc<Driver>,
+    view: Option<View>,
+}
+
+struct View {
+    membership: RefCell<Membership>,
+    wake_at_ms: Cell<f64>,
+    earlier: Notify,
+    /// What the roster named last, and in which version and history.
+    named: RefCell<HashSet<String>>,
+    generation: Cell<u64>,
+    history: Cell<u64>,
+}
+
+impl Members {
+    /// The roster alone, as it comes.
+    #[must_use]
+    pub fn roster_alone(driver: Rc<Driver>) -> Rc<Self> {
+        Rc::new(Self { driver, view: None })
+    }
+
+    /// A view of several sources, which begins with the roster as last known. The driver knows that already.
+    #[must_use]
+    pub fn merged(driver: Rc<Driver>, roster: Trust, known: &HostList) -> Rc<Self> {
+        let view = View {
+            membership: RefCell::new(Membership::new(vec![roster])),
+            wake_at_ms: Cell::new(f64::INFINITY),
+            earlier: Notify::new(),
+            named: RefCell::default(),
+            generation: Cell::new(0),
+            history: Cell::new(0),
+        };
+        let members = Rc::new(Self { driver, view: Some(view) });
+        if !known.instances.is_empty() {
+            members.listed(known, Authority::Stale);
+        }
+        tokio::task::spawn_local(Rc::clone(&members).wake_up());
+        members
+    }
+
+    /// Who is told of the servers.
+    #[must_use]
+    pub fn driver(&self) -> &Rc<Driver> {
+        &self.driver
+    }
+
+    /// Takes a list from the roster, or a change of it.
+    pub fn roster(&self, list: &HostList) {
+        if self.view.is_some() {
+            return self.listed(list, Authority::Fresh);
+        }
+        let hosts = roster::read_all(list);
+        if list.reset {
+            self.driver.list(&hosts);
+        } else {
+            self.driver.changes(&hosts);
+        }
+    }
+
+    /// The roster is out of touch.
+    pub fn roster_lost(&self) {
+        self.feed(Event::Lost { source: ROSTER });
+    }
+
+    /// One more source.
+    ///
+    /// # Panics
+    ///
+    /// The roster is followed alone.
+    #[must_use]
+    pub fn add(&self, trust: Trust) -> SourceId {
+        let view = self.view.as_ref().expect("sources are added to a view");
+        view.membership.borrow_mut().add(trust)
+    }
+
+    /// Something has happened to a source.
+    pub fn feed(&self, event: Event) {
+        let Some(view) = &self.view else { return };
+        let mut actions = Vec::new();
+        view.membership.borrow_mut().handle(self.driver.now_ms(), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Changed(hosts) => self.driver.changes(&hosts),
+                Action::WakeAt(at) => {
+                    view.wake_at_ms.set(at);
+                    view.earlier.notify_one();
+                }
+                Action::Note(note) => log::line(note),
+            }
+        }
+    }
+
+    fn listed(&self, list: &HostList, authority: Authority) {
+        let Some(view) = &self.view else { return };
+        // Guards against a roster that has begun anew: what it says now is older by its number alone.
+        if list.generation < view.generation.replace(list.generation) {
+            view.history.set(view.history.get() + 1);
+        }
+        let hosts = roster::read_all(list);
+        let left = view.note_names(&hosts, list.reset);
+        let left = left.into_iter().map(|id| (id, list.generation)).collect();
+        let word = |host: Host| Word {
+            key: host.id.clone(),
+            state: host.state,
+            index: list.generation,
+            host: Some(host).filter(|host| host.state != State::Gone),
+        };
+        let words = hosts.into_iter().map(word).collect();
+        let list = List { authority, history: view.history.get(), words, left };
+        self.feed(Event::Listed { source: ROSTER, list });
+    }
+
+    async fn wake_up(self: Rc<Self>) {
+        let Some(view) = &self.view else { return };
+        loop {
+            let left_ms = view.wake_at_ms.get() - self.driver.now_ms();
+            if left_ms <= 0.0 {
+                view.wake_at_ms.set(f64::INFINITY);
+                self.feed(Event::Due);
+                continue;
+            }
+            let left = Duration::try_from_secs_f64(left_ms / 1e3).unwrap_or(Duration::from_secs(3_600));
+            tokio::select! {
+                () = tokio::time::sleep(left) => {}
+                () = view.earlier.notified() => {}
+            }
+        }
+    }
+}
+
+impl View {
+    /// Keeps in mind whom the roster names; tells whom a whole list leaves out.
+    fn note_names(&self, hosts: &[Host], whole: bool) -> Vec<String> {
+        let mut named = self.named.borrow_mut();
+        let mut left = Vec::new();
+        if whole {
+            let listed: HashSet<_> = hosts.iter().map(|host| host.id.as_str()).collect();
+            left = named.iter().filter(|id| !listed.contains(id.as_str())).cloned().collect();
+            named.clear();
+        }
+        for host in hosts {
+            if host.state == State::Gone {
+                named.remove(&host.id);
+            } else {
+                named.insert(host.id.clone());
+            }
+        }
+        left
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,18 +4,27 @@
 //! attempts to the servers and [`discovery`] follows the list of servers, at the address that the latest
 //! configuration names. All they see reaches [`driver`] as an event, and it carries out what the balancer decides.
 //! Nothing here decides anything of a request: no health, no retries, no choice of a server.
+//!
+//! What the operators' file ([`operators`]) turns on stands beside that: with it the list goes through [`members`],
+//! which merges it with other sources such as [`consul`]. Without it none of that runs.
 
 pub mod clients;
 pub mod config;
+pub mod consul;
 pub mod discovery;
 pub mod driver;
 mod framing;
 mod log;
+pub mod members;
+pub mod operators;
 mod places;
 mod reload;
+mod roster;
 pub mod servers;
+mod sources;
 
 use std::io;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +36,9 @@
 use clients::Phase;
 use config::{Config, ConfigError};
 use driver::Driver;
+use members::Members;
+use operators::Operators;
+use sources::Sources;
 
 /// A node that is told to stop is ended no sooner than the longest deadline, `LONGEST_WAIT` at the most, and this
 /// after; some of it is kept in hand.
@@ -79,18 +91,27 @@
     move |error| NodeError::System { doing, error }
 }
 
+/// What the operators add to the platform's configuration. The default adds nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Extras {
+    /// What their file says.
+    pub operators: Operators,
+    /// Where it is, so that it can be read again.
+    pub file: Option<PathBuf>,
+}
+
 /// Runs a node until SIGTERM (or SIGINT) and the hand-over after it.
 ///
 /// # Errors
 ///
 /// The configuration makes no sense, or the node cannot listen.
-pub fn run(config: Config) -> Result<(), NodeError> {
+pub fn run(config: Config, extras: Extras) -> Result<(), NodeError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(system("start the event loop"))?;
-    LocalSet::new().block_on(&runtime, node(config))
+    LocalSet::new().block_on(&runtime, node(config, extras))
 }
 
-async fn node(config: Config) -> Result<(), NodeError> {
+async fn node(config: Config, extras: Extras) -> Result<(), NodeError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(system("listen for SIGTERM"))?;
     // SIGHUP ends a process that does not listen for it, so this stands before the node says that it is ready.
     let reload = signal(SignalKind::hangup()).map_err(system("listen for SIGHUP"))?;
@@ -101,8 +122,10 @@
     log::line(format_args!("serves on {address}"));
     let known = Some(config.known.generation).filter(|_| !config.known.instances.is_empty());
     let (moves, addresses) = watch::channel(config.discovery);
-    tokio::task::spawn_local(discovery::follow(Rc::clone(&driver), addresses, config.push, known));
-    tokio::task::spawn_local(reload::follow(reload, moves));
+    let (members, sources) = membership(&driver, &config, &extras.operators);
+    tokio::task::spawn_local(discovery::follow(members, addresses, config.push, known));
+    let operators = extras.file.zip(sources);
+    tokio::task::spawn_local(reload::follow(reload, moves, operators));
     let (phase, phases) = watch::channel(Phase::Serving);
     let longest = driver.names.rules.iter().map(|rule| rule.longest).max().unwrap_or_default();
     let places = config.limits.client_connections();
@@ -128,6 +151,21 @@
     Ok(())
 }
 
+/// The way of the list to the driver, with the sources beside the roster that the operators name.
+fn membership(
+    driver: &Rc<Driver>,
+    config: &Config,
+    operators: &Operators,
+) -> (Rc<Members>, Option<Rc<Sources>>) {
+    let Some(merged) = &operators.membership else {
+        return (Members::roster_alone(Rc::clone(driver)), None);
+    };
+    let members = Members::merged(Rc::clone(driver), merged.roster.clone(), &config.known);
+    let sources = Sources::new(Rc::clone(&members), config.seed);
+    sources.follow(&merged.consul);
+    (members, Some(sources))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/src/net/operators.rs
@@ -0,0 +1,417 @@
+//! The operators' file: what silverthread does beyond the platform's page. It is checked whole before anything starts.
+//!
+//! `deploy/silverthread.toml` has every key with a comment.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+
+use consul::{Api, Consistency, Mapping, Named, Place, Query, State, WatchSettings};
+use membership::{Damping, MatchBy, Trust};
+use serde::{Deserialize, Deserializer};
+use toml::Spanned;
+
+use super::consul::ConsulSource;
+
+/// The largest file: ten times what every key with a comment takes.
+const MOST_FILE: u64 = 256 * 1024;
+/// The most agents of a source, and sources: each takes a connection and a place in every look at a server.
+const MOST_AGENTS: usize = 16;
+const MOST_SOURCES: usize = 16;
+
+/// What the operators' file turns on. The default is what holds without one: nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operators {
+    /// The view that is merged from several sources, where there is a file.
+    pub membership: Option<Merged>,
+}
+
+/// The sources of the merged view.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Merged {
+    /// How far the roster is believed against the others.
+    pub roster: Trust,
+    /// The services that are followed in Consul.
+    pub consul: Vec<ConsulSource>,
+}
+
+/// Why an operators' file cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorsError {
+    file: PathBuf,
+    /// Line and key, where the file is there and can be read.
+    at: Option<(usize, Option<String>)>,
+    why: String,
+}
+
+impl OperatorsError {
+    /// The line, counted from one.
+    #[must_use]
+    pub fn line(&self) -> Option<usize> {
+        self.at.as_ref().map(|(line, _)| *line)
+    }
+
+    /// The key that stands there.
+    #[must_use]
+    pub fn key(&self) -> Option<&str> {
+        self.at.as_ref()?.1.as_deref()
+    }
+}
+
+impl fmt::Display for OperatorsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.file.display())?;
+        if let Some((line, key)) = &self.at {
+            write!(f, ", line {line}")?;
+            if let Some(key) = key {
+                write!(f, ", key `{key}`")?;
+            }
+        }
+        write!(f, ": {}", self.why)
+    }
+}
+
+impl std::error::Error for OperatorsError {}
+
+impl Operators {
+    /// Reads a file and checks all of it.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be read, or something in it makes no sense.
+    pub fn read(file: &Path) -> Result<Self, OperatorsError> {
+        let failed = |why: String| OperatorsError { file: file.to_owned(), at: None, why };
+        let size = std::fs::metadata(file).map_err(|error| failed(error.to_string()))?.len();
+        if size > MOST_FILE {
+            return Err(failed(format!("it is larger than {MOST_FILE} bytes")));
+        }
+        let text = std::fs::read_to_string(file).map_err(|error| failed(error.to_string()))?;
+        Self::parse(file, &text)
+    }
+
+    /// Reads a file's text; `file` is named in errors.
+    ///
+    /// # Errors
+    ///
+    /// Something in it makes no sense.
+    pub fn parse(file: &Path, text: &str) -> Result<Self, OperatorsError> {
+        let at = |span: Option<Range<usize>>, why: String| OperatorsError {
+            file: file.to_owned(),
+            at: span.map(|span| place(text, span.start)),
+            why,
+        };
+        let raw: Raw = toml::from_str(text).map_err(|error| at(error.span(), error.message().to_owned()))?;
+        raw.check().map_err(|Wrong { span, why }| at(Some(span), why))
+    }
+
+    /// What it turns on, a line each.
+    #[must_use]
+    pub fn summary(&self) -> Vec<String> {
+        let Some(merged) = &self.membership else { return Vec::new() };
+        let source = |source: &ConsulSource| {
+            let query = &source.watch.query;
+            let naming = if source.trust.names { "names servers" } else { "advises on the roster's servers" };
+            format!(
+                "consul {:?}: service {:?} through {} agents, {naming}",
+                source.trust.name,
+                query.service,
+                source.agents.len()
+            )
+        };
+        merged.consul.iter().map(source).collect()
+    }
+}
+
+/// The line of an offset, and the key that stands on it.
+fn place(text: &str, offset: usize) -> (usize, Option<String>) {
+    let before = &text[..offset.min(text.len())];
+    let start = before.rfind('\n').map_or(0, |end| end + 1);
+    let line = text[start..].lines().next().unwrap_or_default();
+    let key = line.split_once('=').map(|(key, _)| key).or_else(|| Some(line.trim().trim_matches(['[', ']'])));
+    let key = key.map(|key| key.trim().trim_matches('"').to_owned()).filter(|key| !key.is_empty());
+    (before.matches('\n').count() + 1, key.filter(|key| !key.starts_with('#')))
+}
+
+/// What makes no sense, and where.
+struct Wrong {
+    span: Range<usize>,
+    why: String,
+}
+
+fn wrong<T>(at: &Spanned<T>, why: impl Into<String>) -> Wrong {
+    Wrong { span: at.span(), why: why.into() }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    #[serde(default)]
+    membership: RawMembership,
+    #[serde(default)]
+    consul: Vec<RawConsul>,
+}
+
+/// How far the roster is believed against other sources.
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+struct RawMembership {
+    panic_share: Option<Share>,
+    panic_window_s: Option<Seconds>,
+    confirm_s: Option<Seconds>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawConsul {
+    name: Spanned<String>,
+    service: Spanned<String>,
+    agents: Spanned<Vec<Spanned<SocketAddr>>>,
+    #[serde(default)]
+    api: RawApi,
+    #[serde(default)]
+    consistency: RawConsistency,
+    #[serde(default)]
+    wait_s: Option<Wait>,
+    datacenter: Option<String>,
+    namespace: Option<String>,
+    partition: Option<String>,
+    #[serde(default)]
+    tags: Vec<String>,
+    filter: Option<String>,
+    token_file: Option<PathBuf>,
+    most_age_s: Option<Seconds>,
+    pace_ms: Option<Pace>,
+    #[serde(default)]
+    names_servers: Option<Spanned<bool>>,
+    id: Option<RawNamed>,
+    tagged_address: Option<String>,
+    zone: Option<PlaceText>,
+    kind: Option<PlaceText>,
+    cell: Option<PlaceText>,
+    started_at_ms: Option<PlaceText>,
+    #[serde(default)]
+    states: RawStates,
+    panic_share: Option<Share>,
+    panic_window_s: Option<Seconds>,
+    confirm_s: Option<Seconds>,
+    hold_s: Option<Seconds>,
+    damping: Option<RawDamping>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "lowercase")]
+enum RawApi {
+    #[default]
+    Health,
+    Catalog,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "lowercase")]
+enum RawConsistency {
+    #[default]
+    Default,
+    Stale,
+    Consistent,
+    Cached,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RawState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+impl From<RawState> for State {
+    fn from(raw: RawState) -> Self {
+        match raw {
+            RawState::Ready => Self::Ready,
+            RawState::Draining => Self::Draining,
+            RawState::Gone => Self::Gone,
+        }
+    }
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+struct RawStates {
+    passing: Option<RawState>,
+    warning: Option<RawState>,
+    critical: Option<RawState>,
+    maintenance: Option<RawState>,
+    #[serde(default)]
+    tags: std::collections::BTreeMap<String, RawState>,
+    /// By key, then by value.
+    #[serde(default)]
+    meta: std::collections::BTreeMap<String, std::collections::BTreeMap<String, RawState>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawDamping {
+    first_s: Seconds,
+    most_s: Seconds,
+    half_life_s: Seconds,
+}
+
+/// A figure that is checked as it is read, so that the error names its place.
+macro_rules! figure {
+    ($name:ident, $range:expr, $what:literal) => {
+        #[derive(Clone, Copy)]
+        struct $name(f64);
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+                let figure = f64::deserialize(from)?;
+                if ($range).contains(&figure) {
+                    Ok(Self(figure))
+                } else {
+                    Err(serde::de::Error::custom($what))
+                }
+            }
+        }
+    };
+}
+
+figure!(Share, 0.0..=1.0, "a share lies between 0 and 1");
+figure!(Seconds, 0.0..=86_400.0, "a time lies between 0 and 86400 seconds");
+figure!(Wait, 1.0..=600.0, "a wait lies between 1 and 600 seconds, as Consul has it");
+figure!(Pace, 10.0..=10_000.0, "a pace lies between 10 and 10000 milliseconds");
+
+struct PlaceText(Place);
+
+impl<'de> Deserialize<'de> for PlaceText {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        Place::from_str(&text).map(Self).map_err(serde::de::Error::custom)
+    }
+}
+
+struct RawNamed(Named);
+
+impl<'de> Deserialize<'de> for RawNamed {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        if text == "address" {
+            return Ok(Self(Named::Address));
+        }
+        let place = Place::from_str(&text);
+        place
+            .map(|place| Self(Named::Id(place)))
+            .map_err(|error| serde::de::Error::custom(format_args!("{error}, nor `address`")))
+    }
+}
+
+impl Raw {
+    fn check(self) -> Result<Operators, Wrong> {
+        let mut roster = Trust::roster("roster");
+        let RawMembership { panic_share, panic_window_s, confirm_s } = self.membership;
+        believe(&mut roster, panic_share, panic_window_s, confirm_s);
+        let mut consul: Vec<ConsulSource> = Vec::new();
+        for raw in self.consul {
+            let taken =
+                |name: &str| name == roster.name || consul.iter().any(|other| other.trust.name == name);
+            if taken(raw.name.get_ref()) {
+                return Err(wrong(&raw.name, "there is a source of this name already"));
+            }
+            if consul.len() >= MOST_SOURCES {
+                return Err(wrong(&raw.name, format!("there are more than {MOST_SOURCES} sources")));
+            }
+            consul.push(raw.check()?);
+        }
+        Ok(Operators { membership: Some(Merged { roster, consul }) })
+    }
+}
+
+fn believe(trust: &mut Trust, share: Option<Share>, window: Option<Seconds>, confirm: Option<Seconds>) {
+    trust.panic_share = share.map_or(trust.panic_share, |share| share.0);
+    trust.panic_window_ms = window.map_or(trust.panic_window_ms, Seconds::ms);
+    trust.confirm_ms = confirm.map_or(trust.confirm_ms, Seconds::ms);
+}
+
+impl Seconds {
+    fn ms(self) -> f64 {
+        self.0 * 1e3
+    }
+}
+
+impl RawConsul {
+    fn check(self) -> Result<ConsulSource, Wrong> {
+        if self.name.get_ref().is_empty() || self.name.get_ref().len() > 64 {
+            return Err(wrong(&self.name, "a name has 1 to 64 bytes"));
+        }
+        if self.service.get_ref().is_empty() {
+            return Err(wrong(&self.service, "a service has a name"));
+        }
+        let count = self.agents.get_ref().len();
+        if !(1..=MOST_AGENTS).contains(&count) {
+            return Err(wrong(&self.agents, format!("there are 1 to {MOST_AGENTS} agents")));
+        }
+        let named = self.id.map_or(Named::Id(Place::ServiceId), |id| id.0);
+        let names = self.names_servers.as_ref().is_some_and(|names| *names.get_ref());
+        if let Some(names) = self.names_servers.as_ref().filter(|_| names && named == Named::Address) {
+            return Err(wrong(names, "a source that names servers names them by id, and not by address"));
+        }
+        let mut trust = Trust::advisor(self.name.into_inner());
+        believe(&mut trust, self.panic_share, self.panic_window_s, self.confirm_s);
+        trust.names = names;
+        trust.match_by = if named == Named::Address { MatchBy::Address } else { MatchBy::Id };
+        trust.hold_ms = self.hold_s.map_or(trust.hold_ms, Seconds::ms);
+        if let Some(damping) = self.damping {
+            let [first_ms, most_ms, half_life_ms] =
+                [damping.first_s, damping.most_s, damping.half_life_s].map(Seconds::ms);
+            let half_life_ms = half_life_ms.max(1.0);
+            trust.damping = Some(Damping { first_ms, most_ms, half_life_ms }).filter(|_| most_ms > 0.0);
+        }
+        let query = Query {
+            api: match self.api {
+                RawApi::Health => Api::Health,
+                RawApi::Catalog => Api::Catalog,
+            },
+            service: self.service.into_inner(),
+            datacenter: self.datacenter,
+            namespace: self.namespace,
+            partition: self.partition,
+            tags: self.tags,
+            filter: self.filter,
+            consistency: match self.consistency {
+                RawConsistency::Default => Consistency::Default,
+                RawConsistency::Stale => Consistency::Stale,
+                RawConsistency::Consistent => Consistency::Consistent,
+                RawConsistency::Cached => Consistency::Cached,
+            },
+            wait_s: self.wait_s.map_or(60, |wait| wait.0 as u32),
+        };
+        let ordinary = Mapping::default();
+        let [passing, warning, critical, maintenance] = ordinary.states;
+        let or = |raw: Option<RawState>, state: State| raw.map_or(state, State::from);
+        let meta = self.states.meta.into_iter().flat_map(|(key, states)| {
+            states.into_iter().map(move |(value, state)| (key.clone(), value, state.into()))
+        });
+        let mapping = Mapping {
+            named,
+            tagged_address: self.tagged_address,
+            states: [
+                or(self.states.passing, passing),
+                or(self.states.warning, warning),
+                or(self.states.critical, critical),
+                or(self.states.maintenance, maintenance),
+            ],
+            tags: self.states.tags.into_iter().map(|(tag, state)| (tag, state.into())).collect(),
+            meta: meta.collect(),
+            zone: self.zone.map(|place| place.0),
+            kind: self.kind.map(|place| place.0),
+            cell: self.cell.map(|place| place.0),
+            started_at_ms: self.started_at_ms.map(|place| place.0),
+        };
+        let mut watch = WatchSettings::new(query, mapping, count);
+        watch.most_age_ms = self.most_age_s.map_or(watch.most_age_ms, Seconds::ms);
+        watch.pace_ms = self.pace_ms.map_or(watch.pace_ms, |pace| pace.0);
+        let agents = self.agents.into_inner().into_iter().map(Spanned::into_inner).collect();
+        Ok(ConsulSource { trust, agents, token_file: self.token_file, watch })
+    }
+}
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,18 +1,27 @@
 //! Takes a new configuration while the node runs: SIGHUP makes it read its file again.
 //!
-//! What can change without a restart is where discovery answers. All else in the file holds from the next start.
+//! What can change without a restart is where discovery answers, and of the operators' file which services are
+//! followed in Consul. All else in the files holds from the next start.
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
 use super::config::Config;
 use super::log;
+use super::operators::Operators;
+use super::sources::Sources;
 
 /// Reads the file again at each signal and tells where discovery answers now. A file that cannot be used is logged
 /// and the configuration held stands: a slip of the pen must not end a node that serves.
-pub async fn follow(mut signals: Signal, discovery: watch::Sender<SocketAddr>) {
+pub async fn follow(
+    mut signals: Signal,
+    discovery: watch::Sender<SocketAddr>,
+    operators: Option<(PathBuf, Rc<Sources>)>,
+) {
     // Signals that come while one is dealt with are one more: the file is read after the last of them.
     while signals.recv().await.is_some() {
         match Config::from_environment() {
@@ -24,5 +33,17 @@
             }
             Err(error) => log::line(format_args!("the new configuration is not used: {error}")),
         }
+        if let Some((file, sources)) = &operators {
+            follow_again(file, sources);
+        }
+    }
+}
+
+fn follow_again(file: &Path, sources: &Sources) {
+    match Operators::read(file) {
+        Ok(operators) => {
+            sources.follow(&operators.membership.map(|merged| merged.consul).unwrap_or_default())
+        }
+        Err(error) => log::line(format_args!("the operators' file is not used: {error}")),
     }
 }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -21,15 +21,15 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use membership::{Host, State};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use super::config::Config;
-use super::discovery::Host;
 use super::log;
-use crate::{Availability, Ending, Report, ServerId};
+use crate::{Ending, Report, ServerId};
 
 /// The largest body of a message that is held without a look at what else is.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -412,7 +412,7 @@
         let before = server.address;
         server.address = host.address.or(before);
         server.started_at_ms = host.started_at_ms;
-        if host.availability == Availability::Ready {
+        if host.state == State::Ready {
             server.closes_at = None;
         } else {
             server.idle.clear();
@@ -425,7 +425,7 @@
         }
         let other = *holders.get(&address).filter(|other| **other != at).unwrap_or(&at);
         let is_later = table.get(&other).is_some_and(|o| o.started_at_ms > host.started_at_ms);
-        if other != at && (is_later || host.availability != Availability::Ready) {
+        if other != at && (is_later || host.state != State::Ready) {
             return Some(at);
         }
         holders.insert(address, at);
--- /dev/null
+++ b/src/net/sources.rs
@@ -0,0 +1,59 @@
+//! Which sources are followed beside the roster, as the operators' file has it now.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use membership::{Event, SourceId};
+use tokio::task::AbortHandle;
+
+use super::consul::{self, ConsulSource};
+use super::log;
+use super::members::Members;
+
+/// The sources that are followed.
+pub struct Sources {
+    members: Rc<Members>,
+    seed: u64,
+    followed: RefCell<HashMap<String, Followed>>,
+}
+
+struct Followed {
+    settings: ConsulSource,
+    source: SourceId,
+    task: AbortHandle,
+}
+
+impl Sources {
+    /// None yet.
+    #[must_use]
+    pub fn new(members: Rc<Members>, seed: u64) -> Rc<Self> {
+        Rc::new(Self { members, seed, followed: RefCell::default() })
+    }
+
+    /// Follows these, and no others. One whose settings have not changed goes on as it is.
+    pub fn follow(&self, wanted: &[ConsulSource]) {
+        let mut followed = self.followed.borrow_mut();
+        followed.retain(|name, held| {
+            let stays = wanted.contains(&held.settings);
+            if !stays {
+                held.task.abort();
+                self.members.feed(Event::Forgotten { source: held.source });
+                log::line(format_args!("{name} is followed no more"));
+            }
+            stays
+        });
+        for (nth, settings) in wanted.iter().enumerate() {
+            let name = &settings.trust.name;
+            if followed.contains_key(name) {
+                continue;
+            }
+            let source = self.members.add(settings.trust.clone());
+            let following =
+                consul::follow(Rc::clone(&self.members), source, settings.clone(), self.seed ^ nth as u64);
+            let task = tokio::task::spawn_local(following).abort_handle();
+            log::line(format_args!("{name} is followed: service {:?}", settings.watch.query.service));
+            followed.insert(name.clone(), Followed { settings: settings.clone(), source, task });
+        }
+    }
+}
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,94 @@
+//! The operators' file and the command line, by the program.
+
+use std::process::Output;
+
+use testkit::{program, write_config};
+
+fn check(text: &str) -> Output {
+    let file = write_config(text);
+    let output = program().arg("check").arg(&file).output().expect("it starts");
+    std::fs::remove_file(file).expect("the test's own");
+    output
+}
+
+fn text(bytes: &[u8]) -> &str {
+    std::str::from_utf8(bytes).expect("text")
+}
+
+const CONSUL: &str = "[[consul]]\nname = \"c\"\nservice = \"holds\"\nagents = [\"127.0.0.1:8500\"]\n";
+
+#[test]
+fn the_file_that_is_shipped_is_sound_and_so_is_all_that_it_shows() {
+    let shipped = include_str!("../deploy/silverthread.toml");
+    let output = check(shipped);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    let opened: String = shipped
+        .lines()
+        .map(|line| {
+            let key = line.strip_prefix("# ").unwrap_or(line);
+            let is_key = key.starts_with('[') || key.split(" = ").next().is_some_and(|k| !k.contains(' '));
+            format!("{}\n", if is_key && key.contains(['=', '[']) { key } else { line })
+        })
+        .collect();
+    let output = check(&opened);
+    assert!(output.status.success(), "{}\n{opened}", text(&output.stderr));
+    assert!(
+        text(&output.stdout).contains("consul \"consul\": service \"holds\" through 1 agents, advises"),
+        "{}",
+        text(&output.stdout)
+    );
+}
+
+#[test]
+fn what_makes_no_sense_is_named_by_line_and_key() {
+    let more = |line: &str| format!("{CONSUL}{line}\n");
+    for (file, line, key) in [
+        ("[membership]\nshare = 1\n".to_owned(), 2, "share"),
+        ("[membership]\n\npanic_share = 1.5\n".to_owned(), 3, "panic_share"),
+        ("[consuls]\n".to_owned(), 1, "consuls"),
+        (more("waits = 3"), 5, "waits"),
+        (more("wait_s = 0"), 5, "wait_s"),
+        (more("wait_s = \"long\""), 5, "wait_s"),
+        (more("api = \"agent\""), 5, "api"),
+        (more("id = \"tags:x\""), 5, "id"),
+        (more("zone = \"zone\""), 5, "zone"),
+        (more("id = \"address\"\nnames_servers = true"), 6, "names_servers"),
+        (more("[consul.states]\npassing = \"up\""), 6, "passing"),
+        (more("[consul.damping]\nfirst_s = 1\nmost_s = -1\nhalf_life_s = 1"), 7, "most_s"),
+        (CONSUL.replace("127.0.0.1:8500", "localhost:8500"), 4, "agents"),
+        (CONSUL.replace("[\"127.0.0.1:8500\"]", "[]"), 4, "agents"),
+        (CONSUL.replace("\"holds\"", "\"\""), 3, "service"),
+        (CONSUL.replace("\"c\"", "\"roster\""), 2, "name"),
+        (format!("{CONSUL}{CONSUL}"), 6, "name"),
+        ("consul = [\n".to_owned(), 1, "consul"),
+    ] {
+        let output = check(&file);
+        let said = text(&output.stderr).trim_end();
+        assert_eq!(output.status.code(), Some(2), "{file}\n{said}");
+        assert!(said.contains(&format!(", line {line}")), "{file}\n{said}");
+        assert!(said.contains(&format!("key `{key}`")) || key.is_empty(), "{file}\n{said}");
+        assert!(!said.contains('\n'), "one line: {said}");
+    }
+}
+
+#[test]
+fn a_file_that_cannot_be_read_ends_the_program_with_2_and_nothing_is_started() {
+    for arguments in
+        [&["--config", "/nowhere/at/all.toml"][..], &["check", "/nowhere/at/all.toml"], &["--cnofig"]]
+    {
+        let output = program().args(arguments).output().expect("it starts");
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}");
+        assert!(!output.stderr.is_empty() && output.stdout.is_empty());
+    }
+    let file = write_config("[[consul]]\n");
+    let output = program().env("SILVERTHREAD_CONFIG", &file).output().expect("it starts");
+    std::fs::remove_file(file).expect("the test's own");
+    assert_eq!(output.status.code(), Some(2), "by the variable, too");
+}
+
+#[test]
+fn without_arguments_and_variables_it_fails_as_ever() {
+    let output = program().output().expect("it starts");
+    assert_eq!(output.status.code(), Some(1));
+    assert_eq!(text(&output.stderr), "silverthread: ROUTER_CONFIG names no configuration file\n");
+}
