--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,28 @@
+//! `cargo build --release && cargo run --release -p measure -- <subject>` prints a table of figures. Each subject
+//! measures what it compares within one run, in turn, so that a machine that is slower today is so for both.
+
+mod following;
+mod system;
+
+use std::alloc::System;
+use std::process::ExitCode;
+
+use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
+
+/// Counts allocations, for the subjects that tell them.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const SUBJECTS: [(&str, fn()); 1] = [("membership", following::measure)];
+
+fn main() -> ExitCode {
+    let wanted = std::env::args().nth(1).unwrap_or_default();
+    let Some((_, measure)) = SUBJECTS.iter().find(|(name, _)| *name == wanted) else {
+        let names: Vec<_> = SUBJECTS.iter().map(|(name, _)| *name).collect();
+        eprintln!("measure: name a subject: {}", names.join(", "));
+        return ExitCode::from(2);
+    };
+    system::describe();
+    measure();
+    ExitCode::SUCCESS
+}
--- a/crates/testkit/src/consul.rs
+++ b/crates/testkit/src/consul.rs
@@ -197,6 +197,7 @@
     vanished: bool,
     token: Option<String>,
     queries: Vec<String>,
+    asked: usize,
     told: Vec<Told>,
     noting: bool,
     open: Vec<TcpStream>,
@@ -353,6 +354,12 @@
         self.state().queries.clone()
     }
 
+    /// How many requests have come.
+    #[must_use]
+    pub fn asked(&self) -> usize {
+        self.state().asked
+    }
+
     /// What its answers told, in their order.
     #[must_use]
     pub fn told(&self) -> Vec<Told> {
@@ -369,6 +376,7 @@
         let mut input = BufReader::new(stream.try_clone().expect("a socket"));
         while let Some(request) = Message::read(&mut input) {
             let mut state = self.state();
+            state.asked += 1;
             if state.noting {
                 state.queries.push(request.first.clone());
             }
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
+use std::time::Duration;
 
 use crate::message::Message;
 use crate::PATIENCE;
@@ -71,6 +72,18 @@
         self.stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).expect("an open watch");
     }
 
+    /// Keeps it alive with an empty line each second, as discovery does, until it ends.
+    #[must_use]
+    pub fn kept_alive(self) -> Self {
+        let mut stream = self.stream.try_clone().expect("a socket");
+        thread::spawn(move || {
+            while stream.write_all(b"1\r\n\n\r\n").is_ok() {
+                thread::sleep(Duration::from_secs(1));
+            }
+        });
+        self
+    }
+
     /// Whether the node has ended it.
     pub fn is_closed(&mut self) -> bool {
         self.stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -63,12 +63,12 @@
         let client = |_| {
             let (stop, totals) = (Arc::clone(&stop), Arc::clone(&totals));
             thread::spawn(move || {
-                let mut client = None;
+                let mut client: Option<Client> = None;
                 while !stop.load(Ordering::Relaxed) {
-                    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-                    let at = client.get_or_insert_with(|| Client::connect(node));
-                    if !ask(at, number, &totals) {
-                        client = None;
+                    // A node that takes no connections is asked nothing.
+                    if let Some(mut at) = client.take().or_else(|| Client::try_connect(node)) {
+                        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+                        client = ask(&mut at, number, &totals).then_some(at);
                     }
                     thread::sleep(pause);
                 }
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -107,7 +107,7 @@
         let lines = Arc::clone(&log);
         thread::spawn(move || {
             for line in input.lines().map_while(Result::ok) {
-                println!("{line}");
+                eprintln!("{line}");
                 lines.lock().expect("sound").push(line);
             }
         });
@@ -225,9 +225,16 @@
     /// A connection to a node.
     #[must_use]
     pub fn connect(node: SocketAddr) -> Self {
-        let stream = TcpStream::connect(node).expect("it listens");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
-        Self { input: BufReader::new(stream) }
+        Self::try_connect(node).expect("it listens")
+    }
+
+    /// The same, where it may not listen.
+    #[must_use]
+    pub fn try_connect(node: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(node).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Self { input: BufReader::new(stream) })
     }
 
     /// Sends text as it is; `false`: the connection has ended.
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -34,6 +34,9 @@
 #[derive(Default)]
 struct Seen {
     requests: Vec<Message>,
+    quiet: bool,
+    count: usize,
+    last: Option<Instant>,
     arrivals: Vec<Instant>,
     opened: usize,
     closed: usize,
@@ -71,8 +74,12 @@
         while let Some(request) = Message::read(&mut input) {
             {
                 let mut seen = seen.lock().expect("sound");
-                seen.requests.push(request.clone());
-                seen.arrivals.push(Instant::now());
+                seen.count += 1;
+                seen.last = Some(Instant::now());
+                if !seen.quiet {
+                    seen.requests.push(request.clone());
+                    seen.arrivals.push(Instant::now());
+                }
             }
             match reply(&request) {
                 Reply::Say(text) => stream.write_all(&text).unwrap_or_default(),
@@ -88,6 +95,25 @@
         }
     }
 
+    /// Counts what comes, and keeps none of it: for long runs.
+    #[must_use]
+    pub fn quiet(self) -> Self {
+        self.seen.lock().expect("sound").quiet = true;
+        self
+    }
+
+    /// How many requests have come.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.seen.lock().expect("sound").count
+    }
+
+    /// When the last request came.
+    #[must_use]
+    pub fn last(&self) -> Option<Instant> {
+        self.seen.lock().expect("sound").last
+    }
+
     /// What has come, in its order.
     #[must_use]
     pub fn requests(&self) -> Vec<Message> {
--- /dev/null
+++ b/examples/demo.rs
@@ -0,0 +1,82 @@
+//! A node with five stand-in servers, a roster and Consul on loopback, under some load: `cargo run --release --example
+//! demo`. It says how to talk to the node, and each second what it does; every ten seconds Consul drains another
+//! server. Ctrl-C ends it.
+
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+use silverthread::net::config::Config;
+use silverthread::net::operators::Operators;
+use silverthread::net::{run, Extras};
+use testkit::consul::{Consul, Instance};
+use testkit::{config, list, settings, Discovery, Load, Reply, Server};
+
+const SERVERS: usize = 5;
+const CLIENTS: usize = 4;
+const PAUSE: Duration = Duration::from_millis(2);
+/// A drain moves on after so many seconds.
+const DRAIN: usize = 10;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let servers: Vec<_> = (0..SERVERS).map(|_| Server::start(|_| Reply::ok("rooms: 3\n")).quiet()).collect();
+    let consul = Consul::start();
+    for (at, server) in servers.iter().enumerate() {
+        consul.register(Instance::new("holds", &format!("s-{at}"), server.address));
+    }
+    consul.note_nothing();
+    let discovery = Discovery::start();
+    let entries: Vec<_> =
+        servers.iter().enumerate().map(|(at, s)| s.entry(&format!("s-{at}"), "ready")).collect();
+    let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let text = config(discovery.address, &list(1, true, &entries), &settings(15_000));
+    let config = Config { listen: address, ..Config::parse(&text)? };
+    let file =
+        format!("[[consul]]\nname = \"consul\"\nservice = \"holds\"\nagents = [\"{}\"]\n", consul.address);
+    let operators = Operators::parse("demo.toml".as_ref(), &file)?;
+    let node =
+        thread::spawn(|| run(config, Extras { operators, file: None }).map_err(|error| error.to_string()));
+    println!("a node serves on {address}, and a Consul stand-in answers on {}", consul.address);
+    println!("ask it:   curl -i -H 'Req-Id: me1' -H 'Req-Kind: read' -H 'Req-Deadline: 1000m' http://{address}/api");
+    println!(
+        "drain:    curl -X PUT 'http://{}/v1/agent/service/maintenance/s-0?enable=true'",
+        consul.address
+    );
+    let _watch = discovery.watch().kept_alive();
+    let load = Load::start(address, CLIENTS, PAUSE);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(watch(&load, &servers, &consul));
+    let totals = load.end();
+    println!("{} requests, {} lost, answers {:?}", totals.sent, totals.lost, totals.answers);
+    println!("the node hands over and ends ...");
+    node.join().map_err(|_| "the node panicked")??;
+    Ok(())
+}
+
+/// A line each second until Ctrl-C.
+async fn watch(load: &Load, servers: &[Server], consul: &Consul) {
+    let mut seconds = tokio::time::interval(Duration::from_secs(1));
+    let mut before = (load.totals().sent, vec![0; servers.len()]);
+    for second in 0_usize.. {
+        tokio::select! {
+            _ = tokio::signal::ctrl_c() => return,
+            _ = seconds.tick() => {}
+        }
+        if second % DRAIN == 0 {
+            let at = second / DRAIN;
+            consul.set_maintenance(&format!("s-{}", (at + SERVERS - 1) % SERVERS), false);
+            consul.set_maintenance(&format!("s-{}", at % SERVERS), true);
+        }
+        let totals = load.totals();
+        let now: Vec<_> = servers.iter().map(Server::count).collect();
+        let each: Vec<_> = now.iter().zip(&before.1).map(|(now, before)| now - before).collect();
+        println!(
+            "{second:>4} s: {:>5} requests/s, p99 {:.1} ms, lost {}, by server {each:?}, draining s-{}",
+            totals.sent - before.0,
+            totals.quantile(0.99).as_secs_f64() * 1e3,
+            totals.lost,
+            second / DRAIN % SERVERS
+        );
+        before = (totals.sent, now);
+    }
+}
