Rest a connection only after servers that have brought bytes unasked

Change: a server that has shown such bytes (seen on an idle connection, ahead of a request, or as an answer that cannot be read) is rested for, 5 ms and doubling to 40, half forgotten in a minute. Others are used at once. The look before the first byte and the check of the whole answer stay.

Left open: the first time that a server does it, bytes that come after the next request went out can be taken for its answer; before, only those later than 5 ms could.

--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -43,8 +43,13 @@
 /// An answer is sent as one: how long one that has begun may stand still in its head, and take for its body. That is
 /// many trips between data centres, and short enough to leave time for another attempt.
 const ANSWER_STALL: Duration = Duration::from_millis(250);
-/// How long a connection is left alone after an answer: what comes unasked comes right behind it.
-const REST: Duration = Duration::from_millis(5);
+/// How long a connection is left alone after an answer of a server that has brought bytes unasked: those come right
+/// behind an answer. It doubles with each further time, up to the second figure.
+const REST: [Duration; 2] = [Duration::from_millis(5), Duration::from_millis(40)];
+/// In this time half of the times are forgotten; what is left of one is too little to rest for after as long again.
+const ODD_HALF_LIFE: Duration = Duration::from_secs(60);
+const ODD_LEAST: f64 = 0.25;
+const ODD_MOST: f64 = 8.0;
 /// A connection is retired after this part of the time that it may stand idle: it must not be closed under a
 /// request.
 const IDLE_PART: f64 = 0.8;
@@ -107,6 +112,8 @@
     flooded: Cell<bool>,
     /// Whether the next read must ask the system itself.
     looking: Cell<bool>,
+    /// Whether bytes came that nobody had asked for.
+    unasked: Cell<bool>,
 }
 
 impl Traffic {
@@ -168,7 +175,10 @@
     /// answer before, and would be taken for the next one.
     fn has_news(&self) -> bool {
         match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
-            Ok(_) => true,
+            Ok(bytes) => {
+                self.traffic.unasked.set(self.traffic.unasked.get() || bytes > 0);
+                true
+            }
             Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
     }
@@ -285,9 +295,28 @@
     fn is_usable(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
         self.traffic.looking.set(true);
-        let pending = self.connection.as_mut().poll(&mut cx).is_pending();
+        let polled = self.connection.as_mut().poll(&mut cx);
         self.traffic.looking.set(false);
-        pending && self.sender.is_ready()
+        // An idle connection that ends in an error, and not the system's, has brought what answers nothing.
+        if matches!(&polled, Poll::Ready(Err(error)) if !is_of_the_system(error)) {
+            self.traffic.unasked.set(true);
+        }
+        polled.is_pending() && self.sender.is_ready()
+    }
+}
+
+fn is_of_the_system(error: &hyper::Error) -> bool {
+    std::error::Error::source(error).is_some_and(|cause| cause.is::<io::Error>())
+}
+
+impl Conn {
+    /// Whether it is usable; what it brought unasked is noted.
+    fn is_sound(&mut self, odd: &mut Oddness) -> bool {
+        let is_usable = self.is_usable();
+        if !is_usable && self.traffic.unasked.get() {
+            odd.note(Instant::now());
+        }
+        is_usable
     }
 }
 
@@ -328,6 +357,37 @@
     closes_at: Option<Instant>,
     /// The freshest last.
     idle: Vec<Conn>,
+    odd: Oddness,
+}
+
+/// How often a server has brought bytes unasked of late. Guards against bytes that are taken for the answer to the next
+/// request: they come right behind an answer, so that a rest after it shows them. Who has never done it is not waited
+/// for.
+#[derive(Default)]
+struct Oddness {
+    score: f64,
+    at: Option<Instant>,
+}
+
+impl Oddness {
+    fn score(&self, now: Instant) -> f64 {
+        let age = self.at.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+        self.score * (-age / ODD_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    fn note(&mut self, now: Instant) {
+        self.score = (self.score(now) + 1.0).min(ODD_MOST);
+        self.at = Some(now);
+    }
+
+    /// How long a connection is left alone after an answer.
+    fn rest(&self, now: Instant) -> Duration {
+        let score = self.score(now);
+        if score < ODD_LEAST {
+            return Duration::ZERO;
+        }
+        REST[0].mul_f64((score - 1.0).max(0.0).exp2()).min(REST[1])
+    }
 }
 
 /// Room for large answers. Guards the limit on memory: servers could fill it with answers of ordinary number.
@@ -453,7 +513,8 @@
     pub fn retire(&self) {
         let now = Instant::now();
         for server in self.table.borrow_mut().values_mut() {
-            server.idle.retain_mut(|conn| now - conn.idle_since < self.idle_limit && conn.is_usable());
+            let (idle, odd) = (&mut server.idle, &mut server.odd);
+            idle.retain_mut(|conn| now - conn.idle_since < self.idle_limit && conn.is_sound(odd));
         }
     }
 
@@ -479,15 +540,17 @@
         let mut table = self.table.borrow_mut();
         let server = table.get_mut(&at)?;
         let now = Instant::now();
-        while let Some(rested) = server.idle.iter().rposition(|conn| now - conn.idle_since >= REST) {
+        while let Some(rested) =
+            server.idle.iter().rposition(|conn| now - conn.idle_since >= server.odd.rest(now))
+        {
             let mut conn = server.idle.remove(rested);
             // Guards against a request on a connection that the server has closed meanwhile: it would end as
             // a reset, and a reset may have run.
-            if now - conn.idle_since < self.idle_limit && conn.is_usable() {
+            if now - conn.idle_since < self.idle_limit && conn.is_sound(&mut server.odd) {
                 return Some(Ok(conn));
             }
         }
-        server.idle.first().map(|conn| Err(conn.idle_since + REST))
+        server.idle.first().map(|conn| Err(conn.idle_since + server.odd.rest(now)))
     }
 
     /// Guards the limit on descriptors: the connection that has been idle longest makes room.
@@ -513,11 +576,17 @@
         }
     }
 
+    fn note_odd(&self, at: ServerId) {
+        if let Some(server) = self.table.borrow_mut().get_mut(&at) {
+            server.odd.note(Instant::now());
+        }
+    }
+
     fn give_back(&self, at: ServerId, slot: &Slot) {
         let Some(mut conn) = slot.0.borrow_mut().take() else { return };
         let mut table = self.table.borrow_mut();
-        let Some(server) = table.get_mut(&at).filter(|s| s.closes_at.is_none()) else { return };
-        if conn.is_usable() {
+        let Some(server) = table.get_mut(&at) else { return };
+        if conn.is_sound(&mut server.odd) && server.closes_at.is_none() {
             conn.idle_since = Instant::now();
             server.idle.push(conn);
         }
@@ -544,6 +613,9 @@
         let ended = exchange(request, slot, &traffic, &self.large).await;
         let ended = ended.unwrap_or_else(|broken| {
             slot.close();
+            if traffic.unasked.get() || matches!(broken, Broken::Answer) {
+                self.note_odd(at);
+            }
             // An answer is only looked at once the request is out; what breaks before that never ran.
             match broken {
                 _ if !traffic.whole.get() => Ending::Unreachable,
@@ -706,6 +778,22 @@
     use super::*;
     use std::io::Write;
 
+    /// Guards against a wait that every request pays, and against none for a server that needs one.
+    #[test]
+    fn a_rest_is_for_servers_that_brought_bytes_unasked_and_it_fades() {
+        let (mut odd, now) = (Oddness::default(), Instant::now());
+        assert_eq!(odd.rest(now), Duration::ZERO);
+        let rests: Vec<_> = (0..6)
+            .map(|_| {
+                odd.note(now);
+                odd.rest(now)
+            })
+            .collect();
+        assert_eq!(rests[0], REST[0]);
+        assert!(rests[1] > rests[0] && rests[5] == REST[1], "{rests:?}");
+        assert_eq!(odd.rest(now + ODD_HALF_LIFE * 6), Duration::ZERO);
+    }
+
     /// Guards against large answers that fill the memory, and against room that is not given back.
     #[test]
     fn large_answers_are_held_while_there_is_room() {
