--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -98,7 +98,12 @@
     pub fn feed(&self, event: Event) {
         let Some(view) = &self.view else { return };
         let mut actions = Vec::new();
+        let is_roster = matches!(&event, Event::Listed { source: ROSTER, .. });
         view.membership.borrow_mut().handle(self.driver.now_ms(), event, &mut actions);
+        // The driver hears of every list: that it comes matters, too, where lists are asked for.
+        if is_roster && !actions.iter().any(|action| matches!(action, Action::Changed(_))) {
+            self.driver.changes(&[]);
+        }
         for action in actions {
             match action {
                 Action::Changed(hosts) => self.driver.changes(&hosts),
