Pin that a drain holds where its word comes between the choice and the first byte

Change: a test holds an attempt while its connection comes up, tells the drain, and lets it go on.

Result: nothing goes out and the attempt was not sent.

--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -810,6 +810,35 @@
         assert!(room.take(100).is_some());
     }
 
+    /// Guards the rule on drains where the word comes between the choice of a server and the first byte.
+    #[tokio::test]
+    async fn nothing_goes_out_that_was_chosen_before_the_word_of_a_drain() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let text = testkit::config(address, &testkit::list(1, true, &[]), &testkit::settings(15_000));
+        let servers = Servers::new(&Config::parse(&text).expect("sound"));
+        let host = Host { address: Some(address), ..Host::named("s-0") };
+        servers.update(ServerId(0), &host);
+        let message = Message {
+            method: Method::GET,
+            uri: Uri::from_static("/api"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        let slot = Slot::default();
+        let deadline = Instant::now() + Duration::from_secs(60);
+        let mut attempt = pin!(servers.attempt(ServerId(0), &message, deadline, &slot));
+        let begun = attempt.as_mut().poll(&mut Context::from_waker(Waker::noop()));
+        assert!(begun.is_pending(), "it is on its way");
+        servers.update(ServerId(0), &Host { state: State::Draining, ..host });
+        let ended = tokio::time::timeout(Duration::from_secs(5), attempt).await.expect("it sends, and waits");
+        assert_eq!(ended.ending, Ending::NotSent);
+        let (mut connection, _) = listener.accept().expect("a connection");
+        let mut bytes = Vec::new();
+        io::Read::read_to_end(&mut connection, &mut bytes).expect("an end in order");
+        assert!(bytes.is_empty(), "nothing went out");
+    }
+
     /// Guards against bytes that come as the next request goes out, before the event loop has heard of them: they
     /// would be taken for its answer. Nothing is written then, so that nothing has run.
     #[tokio::test]
