--- a/crates/consul/src/mapping.rs
+++ b/crates/consul/src/mapping.rs
@@ -100,6 +100,8 @@
     pub kind: Option<Place>,
     /// Where its cell stands.
     pub cell: Option<Place>,
+    /// Where its weight stands; otherwise Consul's own weights tell it.
+    pub weight: Option<Place>,
     /// Where the time of its last start stands, in milliseconds of Unix time.
     pub started_at_ms: Option<Place>,
 }
@@ -115,6 +117,7 @@
             zone: None,
             kind: None,
             cell: None,
+            weight: None,
             started_at_ms: None,
         }
     }
@@ -165,14 +168,14 @@
     /// What names the server is missing.
     pub fn read(&self, instance: &Instance) -> Result<Said, Unusable> {
         let status = instance.status();
+        let by_checks = if status == Status::Passing { instance.weights.0 } else { instance.weights.1 };
         let facts = Facts {
             address: self.address(instance),
             zone: value(self.zone.as_ref(), instance),
             kind: value(self.kind.as_ref(), instance),
             cell: value(self.cell.as_ref(), instance),
-            started_at_ms: value(self.started_at_ms.as_ref(), instance)
-                .filter(|ms: &f64| ms.is_finite() && *ms >= 0.0),
-            weight: if status == Status::Passing { instance.weights.0 } else { instance.weights.1 },
+            started_at_ms: figure(self.started_at_ms.as_ref(), instance),
+            weight: figure(self.weight.as_ref(), instance).unwrap_or(by_checks),
         };
         let key = match &self.named {
             Named::Id(place) => place.of(instance).map(str::to_owned),
@@ -205,3 +208,7 @@
 fn value<T: FromStr>(place: Option<&Place>, instance: &Instance) -> Option<T> {
     place?.of(instance)?.parse().ok()
 }
+
+fn figure(place: Option<&Place>, instance: &Instance) -> Option<f64> {
+    value(place, instance).filter(|figure: &f64| figure.is_finite() && *figure >= 0.0)
+}
--- a/crates/consul/src/query.rs
+++ b/crates/consul/src/query.rs
@@ -138,6 +138,18 @@
         );
     }
 
+    #[test]
+    fn every_mode_of_consistency_is_asked_for() {
+        for (consistency, path) in [
+            (Consistency::Default, "/v1/health/service/a"),
+            (Consistency::Stale, "/v1/health/service/a?stale"),
+            (Consistency::Consistent, "/v1/health/service/a?consistent"),
+            (Consistency::Cached, "/v1/health/service/a?cached"),
+        ] {
+            assert_eq!(Query { consistency, ..Query::health("a") }.path(0), path);
+        }
+    }
+
     #[test]
     fn the_jitter_that_consul_adds_is_waited_for() {
         let query = Query { wait_s: 160, ..Query::health("a") };
--- a/crates/consul/src/watch.rs
+++ b/crates/consul/src/watch.rs
@@ -1,5 +1,7 @@
 //! Follows one service: which agent is asked when, what an answer counts for, and what to do when none comes.
 
+use std::collections::HashMap;
+use std::mem::Discriminant;
 use std::rc::Rc;
 
 use crate::elements::Elements;
@@ -15,6 +17,8 @@
 const GRACE_MS: f64 = 5_000.0;
 /// A body that stands still for so long is given up: a local agent sends an answer as one.
 const STALL_MS: f64 = 5_000.0;
+/// How long a whole body may take. Guards against one that trickles: the source would look fresh for ever.
+const LONGEST_READ_MS: f64 = 30_000.0;
 /// Answers that may follow one another without a pause, and the pause after them. Guards against a service that
 /// changes without end, and against an agent that does not block: each answer is the whole world.
 const BURST: f64 = 5.0;
@@ -26,10 +30,15 @@
 const POLL_MS: f64 = 1_000.0;
 /// Waits after failures once every agent has failed: the first, and the longest.
 const BACKOFF_MS: [f64; 2] = [250.0, 30_000.0];
+/// The first wait doubles no more often than this: it is beyond the longest then.
+const MOST_DOUBLINGS: u32 = 10;
 /// The wait before the next agent is tried.
 const NEXT_AGENT_MS: f64 = 20.0;
 /// Stale answers in a row after which another agent is asked.
 const STALE_ROW: u32 = 3;
+/// A kind of trouble with an agent is told again once it has not been seen for this long: more than the longest wait
+/// between queries, so that an agent that fails for an hour is told of once.
+const QUIET_MS: f64 = 60_000.0;
 
 /// How a service is followed.
 #[derive(Clone, Debug, PartialEq)]
@@ -128,7 +137,7 @@
     Lost,
     /// Bring [`Event::Due`] at this time, instead of any named before.
     WakeAt(f64),
-    /// Tell the operators, once for each agent's row of failures.
+    /// Tell the operators: a kind of trouble with an agent begins.
     Trouble {
         /// The agent.
         agent: usize,
@@ -150,6 +159,7 @@
 #[derive(Debug)]
 struct Reading {
     asked_at: f64,
+    begun_at: f64,
     head: Head,
     elements: Elements,
     bytes: usize,
@@ -174,7 +184,8 @@
     allowance: f64,
     allowed_at: f64,
     pause_ms: f64,
-    troubled: Option<(usize, std::mem::Discriminant<Trouble>)>,
+    /// When each kind of trouble was last seen at each agent; there are as many as agents times kinds at the most.
+    troubled: HashMap<(usize, Discriminant<Trouble>), f64>,
 }
 
 impl Watch {
@@ -198,7 +209,7 @@
             allowance: BURST,
             allowed_at: f64::NEG_INFINITY,
             pause_ms,
-            troubled: None,
+            troubled: HashMap::new(),
         }
     }
 
@@ -254,7 +265,7 @@
         }
         self.world.begin();
         let (head, elements) = (Head::read(headers), Elements::default());
-        self.phase = Phase::Reading(Reading { asked_at, head, elements, bytes: 0 });
+        self.phase = Phase::Reading(Reading { asked_at, begun_at: now, head, elements, bytes: 0 });
         actions.push(Action::WakeAt(now + STALL_MS));
     }
 
@@ -262,6 +273,7 @@
         let Phase::Reading(reading) = &mut self.phase else { return };
         let (world, settings, mut fits) = (&mut self.world, &self.settings, true);
         reading.bytes += piece.len();
+        let until = (now + STALL_MS).min(reading.begun_at + LONGEST_READ_MS);
         let cut = reading.elements.push(piece, |element| {
             fits = fits && world.add(settings.query.api, &settings.mapping, element);
         });
@@ -276,7 +288,7 @@
                 actions.push(Action::HangUp);
                 self.fail(now, Trouble::Answer(why), actions);
             }
-            None => actions.push(Action::WakeAt(now + STALL_MS)),
+            None => actions.push(Action::WakeAt(until)),
         }
     }
 
@@ -286,18 +298,19 @@
             return self.fail(now, Trouble::Answer(error.to_string()), actions);
         }
         if let Some((count, error)) = self.world.malformed() {
-            let trouble = Trouble::Instances(format!("{error} ({count} of them)"));
-            self.trouble(trouble, actions);
-        } else if self.world.unusable() > 0 {
-            self.trouble(Trouble::Nameless(self.world.unusable()), actions);
-        } else {
-            self.troubled = None;
+            self.trouble(now, Trouble::Instances(format!("{error} ({count} of them)")), actions);
+        }
+        if self.world.unusable() > 0 {
+            self.trouble(now, Trouble::Nameless(self.world.unusable()), actions);
         }
         // What could not be read may be a server that is ready: nothing may be taken away for it.
         let whole = self.world.malformed().is_none();
         let stale = reading.head.is_stale(self.settings.most_age_ms);
         let change = self.world.commit();
-        let index = self.note_index(reading.head.index.unwrap_or(0), !change.is_empty(), actions);
+        let index = reading.head.index.unwrap_or(0);
+        if self.note_index(index, !change.is_empty()) {
+            self.trouble(now, Trouble::Index, actions);
+        }
         let idle = change.is_empty() && now - reading.asked_at <= AT_ONCE_MS;
         actions.push(Action::Tell(News {
             fresh: whole && !stale,
@@ -309,26 +322,21 @@
         (self.failures, self.is_lost, self.has_answered) = (0, false, true);
         self.stale_row = if stale { self.stale_row + 1 } else { 0 };
         if self.stale_row >= STALE_ROW && self.settings.agents > 1 {
-            (self.stale_row, self.agent) = (0, (self.agent + 1) % self.settings.agents);
+            // It is asked for all that it has: what it has may be no newer, and is of now.
+            (self.stale_row, self.agent, self.index) = (0, (self.agent + 1) % self.settings.agents, 0);
         }
         actions.push(Action::WakeAt(now + self.pause(now, idle || stale)));
     }
 
-    /// Takes an answer's index, and tells the version of what it said. The published rules: an index that goes back
+    /// Takes an answer's index, and tells whether it makes no sense. The published rules: an index that goes back
     /// begins anew at zero, and one that is not greater than zero is no index.
-    fn note_index(&mut self, index: u64, changed: bool, actions: &mut Vec<Action>) -> u64 {
+    fn note_index(&mut self, index: u64, changed: bool) -> bool {
         let goes_back = index < self.newest;
         let stands = index == self.newest && changed && self.has_answered;
-        if goes_back || stands {
-            // Without an index every change looks so; it is told once.
-            if index > 0 || self.newest > 0 {
-                self.trouble(Trouble::Index, actions);
-            }
-            self.history += 1;
-        }
+        self.history += u64::from(goes_back || stands);
         self.newest = index;
         self.index = if goes_back { 0 } else { index };
-        index
+        goes_back || stands || index == 0
     }
 
     /// How long to wait until the next query.
@@ -350,7 +358,7 @@
 
     fn fail(&mut self, now: f64, trouble: Trouble, actions: &mut Vec<Action>) {
         self.phase = Phase::Resting;
-        self.trouble(trouble, actions);
+        self.trouble(now, trouble, actions);
         self.failures = self.failures.saturating_add(1);
         let agents = self.settings.agents as u32;
         self.agent = (self.agent + 1) % self.settings.agents;
@@ -362,17 +370,17 @@
             if !std::mem::replace(&mut self.is_lost, true) {
                 actions.push(Action::Lost);
             }
-            let doubled = BACKOFF_MS[0] * 2_f64.powi((self.failures - agents).min(30) as i32);
+            let doubled = BACKOFF_MS[0] * 2_f64.powi((self.failures - agents).min(MOST_DOUBLINGS) as i32);
             doubled.min(BACKOFF_MS[1]) * (0.5 + 0.5 * self.random.f64())
         };
         actions.push(Action::WakeAt(now + wait));
     }
 
-    /// Tells the operators, unless that agent's last trouble was of the same kind.
-    fn trouble(&mut self, trouble: Trouble, actions: &mut Vec<Action>) {
+    /// Tells the operators, unless the trouble goes on.
+    fn trouble(&mut self, now: f64, trouble: Trouble, actions: &mut Vec<Action>) {
         let this = (self.agent, std::mem::discriminant(&trouble));
-        if self.troubled != Some(this) {
-            self.troubled = Some(this);
+        let before = self.troubled.insert(this, now);
+        if before.is_none_or(|before| now - before > QUIET_MS) {
             actions.push(Action::Trouble { agent: self.agent, trouble });
         }
     }
--- a/crates/consul/tests/instances.rs
+++ b/crates/consul/tests/instances.rs
@@ -52,6 +52,11 @@
     assert_eq!((said.facts.cell, said.facts.started_at_ms), (Some(3), Some(1.7e12)));
     assert_eq!(said.facts.weight.to_bits(), 10_f64.to_bits());
     assert_eq!(read(&health("warning"), &mapping()).facts.weight.to_bits(), 0_f64.to_bits());
+    for (place, weight) in [("meta:cell", 3_f64), ("meta:zone", 10_f64), ("meta:absent", 10_f64)] {
+        let mapping = Mapping { weight: place.parse().ok(), ..mapping() };
+        let read = read(&health("passing"), &mapping).facts.weight;
+        assert_eq!(read.to_bits(), weight.to_bits(), "{place}: what is no figure is passed over");
+    }
 }
 
 #[test]
--- a/crates/consul/tests/watch.rs
+++ b/crates/consul/tests/watch.rs
@@ -213,7 +213,8 @@
             assert!(!play.news().fresh);
             play.wake();
         }
-        assert_eq!(play.asked().0, 1);
+        // What it has may be no newer: a query that waits for a change would leave the source stale for a whole wait.
+        assert_eq!(play.asked(), (1, "/v1/health/service/holds".into()));
     }
 }
 
@@ -250,18 +251,42 @@
     assert!(play.asked().1.contains("index=41"));
 }
 
+/// Lost for an hour: one line for each agent, and one more when it fails again after a quiet while.
 #[test]
-fn trouble_is_told_once_a_row_for_each_agent() {
-    let mut play = Play::new(1);
+fn trouble_is_told_when_it_begins_and_not_while_it_goes_on() {
+    let mut play = Play::new(2);
     let mut told = 0;
-    for _ in 0..100 {
+    while play.now < 3_600_000.0 {
         play.feed(Event::Broken("refused".into()));
         told += play.troubles().len();
         play.wake();
     }
-    assert_eq!(told, 1);
+    assert_eq!(told, 2);
     play.feed(Event::Head { status: 403, headers: &[] });
-    assert_eq!(play.troubles(), [&Trouble::Forbidden]);
+    assert_eq!(play.troubles(), [&Trouble::Forbidden], "of another kind");
+    play.wake();
+    for _ in 0..2 {
+        play.answer(41, "[]");
+        play.wake();
+        play.now += 60_000.0;
+    }
+    play.feed(Event::Broken("refused".into()));
+    assert_eq!(play.troubles().len(), 1);
+}
+
+/// Guards against a log line for each of ten answers a second.
+#[test]
+fn an_index_that_never_makes_sense_is_told_of_once() {
+    for (first, second) in [(41, 7), (41, 41), (0, 0)] {
+        let (mut play, mut told) = (Play::new(1), 0);
+        for turn in 0..100 {
+            let index = if turn % 2 == 0 { first } else { second };
+            play.answer(index, &list(&[instance("a", ["passing", "critical"][turn % 2])]));
+            told += play.troubles().len();
+            play.wake();
+        }
+        assert_eq!(told, 1, "{first}, {second}");
+    }
 }
 
 #[test]
@@ -312,12 +337,30 @@
     play.wake();
     play.feed(Event::Head { status: 200, headers: &[] });
     let begun = play.now;
-    for _ in 0..10 {
+    play.feed(Event::Body(b"["));
+    play.wake();
+    assert_eq!((play.now - begun, play.actions.contains(&Action::HangUp)), (5_000.0, true));
+}
+
+/// Guards against a source that looks fresh while its answer trickles in for ever.
+#[test]
+fn an_answer_that_trickles_is_given_up() {
+    let mut play = Play::new(1);
+    play.feed(Event::Head { status: 200, headers: &[] });
+    let mut pieces = 0;
+    loop {
+        let woken = play.wake_at();
         play.now += 4_000.0;
+        if woken <= play.now {
+            play.now = woken;
+            play.feed(Event::Due);
+            break;
+        }
         play.feed(Event::Body(b" "));
+        pieces += 1;
+        assert!(pieces < 20, "it is never given up");
     }
-    play.wake();
-    assert!(play.now - begun < 46_000.0 && play.actions.contains(&Action::HangUp));
+    assert!(play.is_lost() && play.actions.contains(&Action::HangUp));
 }
 
 #[test]
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -13,6 +13,8 @@
 pub const MOST_TOMBSTONES: usize = 4_096;
 /// Flaps that are remembered of a server at the most: more would only make the figure grow.
 const MOST_FLAPS: f64 = 16.0;
+/// A server is kept out from so many flaps of late on: one that comes and goes once is none.
+const FORGIVEN_FLAPS: f64 = 1.5;
 
 /// What a source's keys are matched with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +49,8 @@
     pub panic_share: f64,
     /// ... within this time.
     pub panic_window_ms: f64,
+    /// Whether that holds although no other source calls the servers ready.
+    pub panics_alone: bool,
     /// What is not believed at once is once it has been said for this long.
     pub confirm_ms: f64,
     /// Whether words of a new history (an index that went back) wait for that time, too.
@@ -68,6 +72,7 @@
             match_by: MatchBy::Id,
             panic_share: 0.5,
             panic_window_ms: 10_000.0,
+            panics_alone: false,
             confirm_ms: 30_000.0,
             doubts_new_history: false,
             hold_ms: f64::INFINITY,
@@ -80,6 +85,7 @@
     pub fn advisor(name: impl Into<String>) -> Self {
         Self {
             names: false,
+            panics_alone: true,
             doubts_new_history: true,
             hold_ms: 60_000.0,
             damping: Some(Damping { first_ms: 2_000.0, most_ms: 60_000.0, half_life_ms: 60_000.0 }),
@@ -144,6 +150,14 @@
     host: Option<Host>,
 }
 
+/// How a word was heard: when, in which version, and whether of now.
+#[derive(Clone, Copy)]
+struct Heard {
+    now: f64,
+    order: (u64, u64),
+    fresh: bool,
+}
+
 /// When a latest word becomes the effective one.
 #[derive(Clone, Copy, PartialEq)]
 enum Belief {
@@ -202,15 +216,21 @@
         self.records.get(key)?.effective
     }
 
-    /// What the source knows of a server, and when it said its word.
+    /// What the source knows of a server.
     pub fn host(&self, key: &str) -> Option<&Host> {
         self.records.get(key)?.host.as_ref()
     }
 
+    /// When the version of the effective word was first heard.
     pub fn heard_at(&self, key: &str) -> f64 {
         self.records.get(key).map_or(f64::NEG_INFINITY, |record| record.heard_at)
     }
 
+    /// Keys whose latest word is not the effective one.
+    pub fn pending(&self) -> &Affected {
+        &self.pending
+    }
+
     pub fn keys(&self) -> Affected {
         self.records.keys().cloned().collect()
     }
@@ -230,11 +250,12 @@
             if word.state == State::Ready && word.host.as_ref().is_some_and(|host| host.weight <= 0.0) {
                 word.state = State::Draining;
             }
-            self.word(now, (list.history, word.index), fresh, word, affected, notes);
+            let heard = Heard { now, order: (list.history, word.index), fresh };
+            self.word(heard, word, affected, notes);
         }
         for (key, index) in list.left {
-            let word = Word { key, state: State::Gone, index, host: None };
-            self.word(now, (list.history, index), fresh, word, affected, notes);
+            let heard = Heard { now, order: (list.history, index), fresh };
+            self.word(heard, Word { key, state: State::Gone, index, host: None }, affected, notes);
         }
         if fresh {
             if !std::mem::replace(&mut self.fresh, true) && self.out_since > f64::NEG_INFINITY {
@@ -256,17 +277,10 @@
         }
     }
 
-    fn word(
-        &mut self,
-        now: f64,
-        order: (u64, u64),
-        fresh: bool,
-        word: Word,
-        affected: &mut Affected,
-        notes: &mut Vec<Note>,
-    ) {
+    fn word(&mut self, heard: Heard, word: Word, affected: &mut Affected, notes: &mut Vec<Note>) {
+        let Heard { now, order, fresh } = heard;
         let Some(record) = self.records.get_mut(&word.key) else {
-            return self.first_word(now, order, fresh, word, affected, notes);
+            return self.first_word(heard, word, affected, notes);
         };
         let latest = &mut record.latest;
         // Of one version the graver word holds, so that the order in which words come makes no difference.
@@ -295,36 +309,37 @@
         }
     }
 
-    fn first_word(
-        &mut self,
-        now: f64,
-        order: (u64, u64),
-        fresh: bool,
-        word: Word,
-        affected: &mut Affected,
-        notes: &mut Vec<Note>,
-    ) {
+    fn first_word(&mut self, heard: Heard, word: Word, affected: &mut Affected, notes: &mut Vec<Note>) {
         if self.records.len() >= MOST_SERVERS {
             if !std::mem::replace(&mut self.overfull, true) {
                 notes.push(Note::TooMany { source: self.trust.name.clone() });
             }
             return;
         }
-        // Of a server that nothing was known of there is nothing to lose by a word, however old.
+        let Heard { now, order, fresh } = heard;
         let latest = Latest { state: word.state, order, since: now, fresh };
-        let (effective, key) = (Some(word.state), word.key);
-        let record =
-            Record { latest, effective, order, heard_at: now, flaps: 0.0, flapped_at: now, host: word.host };
+        // Where nothing was known nothing is lost by a word, however old, unless it takes away what others name.
+        let effective = Some(word.state).filter(|state| *state != State::Gone);
+        let (key, host) = (word.key, word.host);
+        let record = Record { latest, effective, order, heard_at: now, flaps: 0.0, flapped_at: now, host };
         self.ready += usize::from(word.state == State::Ready);
-        if word.state == State::Gone {
-            self.tombstones.push_back(key.clone());
+        if effective.is_none() {
+            self.pending.insert(key.clone());
         }
         affected.insert(key.clone());
         self.records.insert(key, record);
     }
 
     /// Believes what may be believed by now. Tells when there is more to believe.
-    pub fn settle(&mut self, now: f64, affected: &mut Affected, notes: &mut Vec<Note>) -> Option<f64> {
+    ///
+    /// `vouched` are the keys that another source calls ready; it matters where the source does not panic alone.
+    pub fn settle(
+        &mut self,
+        now: f64,
+        vouched: &Affected,
+        affected: &mut Affected,
+        notes: &mut Vec<Note>,
+    ) -> Option<f64> {
         let window = now - self.trust.panic_window_ms;
         let records = &self.records;
         self.withdrawn.retain(|(at, key)| {
@@ -334,7 +349,8 @@
         let mut next: Option<f64> = None;
         for key in std::mem::take(&mut self.pending) {
             let Some(record) = self.records.get(&key) else { continue };
-            match self.belief(record, panic) {
+            let doubted = panic && (self.trust.panics_alone || vouched.contains(&key));
+            match self.belief(record, doubted) {
                 Belief::At(at) if at <= now => {
                     self.believe(now, &key);
                     affected.insert(key);
@@ -347,14 +363,14 @@
                 }
             }
         }
+        // What is left to believe is what was not believed: without that there is no panic to tell of.
+        let panic = panic && self.wanted_withdrawals() > 0;
         if panic != self.in_panic {
             self.in_panic = panic;
             let source = self.trust.name.clone();
-            let wanted = self.wanted_withdrawals() + self.withdrawn.len();
-            notes.push(if panic {
-                Note::Withdrawal { source, of: (wanted, self.ready + self.withdrawn.len()) }
-            } else {
-                Note::WithdrawalOver { source }
+            notes.push(match panic {
+                true => Note::Withdrawal { source, of: self.withdrawals() },
+                false => Note::WithdrawalOver { source },
             });
         }
         self.bury(affected);
@@ -375,24 +391,33 @@
         None
     }
 
+    /// Servers that the source's latest word takes away, and its effective one does not yet.
+    fn wanted(&self) -> impl Iterator<Item = &Record> {
+        let records = self.pending.iter().filter_map(|key| self.records.get(key));
+        records.filter(|record| {
+            record.latest.state == State::Gone && matches!(record.effective, None | Some(State::Ready))
+        })
+    }
+
     fn wanted_withdrawals(&self) -> usize {
-        let wants = |key: &&String| {
-            self.records.get(*key).is_some_and(|record| {
-                record.effective == Some(State::Ready) && record.latest.state == State::Gone
-            })
-        };
-        self.pending.iter().filter(wants).count()
+        self.wanted().count()
+    }
+
+    /// Servers that are withdrawn within the window or would be, and how many there were.
+    fn withdrawals(&self) -> (usize, usize) {
+        let unknown = self.wanted().filter(|record| record.effective.is_none()).count();
+        let gone = self.withdrawn.len() + self.wanted_withdrawals();
+        (gone, self.ready + self.withdrawn.len() + unknown)
     }
 
     /// Whether more servers are withdrawn within the window than is believed at once. Guards against a source that
     /// has lost its memory, or whose checks all fail for a reason of its own.
     fn panics(&self) -> bool {
-        let wanted = self.wanted_withdrawals();
-        let (gone, all) = (self.withdrawn.len() + wanted, self.ready + self.withdrawn.len());
-        wanted > 0 && gone as f64 > self.trust.panic_share * all as f64
+        let (gone, all) = self.withdrawals();
+        self.wanted_withdrawals() > 0 && gone as f64 > self.trust.panic_share * all as f64
     }
 
-    fn belief(&self, record: &Record, panic: bool) -> Belief {
+    fn belief(&self, record: &Record, doubted: bool) -> Belief {
         let Latest { state, order, since, fresh } = record.latest;
         if state == State::Draining {
             return Belief::At(f64::NEG_INFINITY); // A drain never waits.
@@ -400,10 +425,10 @@
         if !fresh {
             return Belief::Waits;
         }
-        let doubted = order.0 != record.order.0 && self.trust.doubts_new_history;
-        let confirmed = since + if doubted { self.trust.confirm_ms } else { 0.0 };
+        let is_new_history = order.0 != record.order.0 && self.trust.doubts_new_history;
+        let confirmed = since + if is_new_history { self.trust.confirm_ms } else { 0.0 };
         Belief::At(match (record.effective, state) {
-            (Some(State::Ready), State::Gone) if panic => since + self.trust.confirm_ms,
+            (None | Some(State::Ready), State::Gone) if doubted => since + self.trust.confirm_ms,
             (_, State::Ready) => confirmed.max(since + self.kept_out(record, since)),
             _ => confirmed,
         })
@@ -413,10 +438,10 @@
     fn kept_out(&self, record: &Record, since: f64) -> f64 {
         let Some(damping) = self.trust.damping else { return 0.0 };
         let flaps = record.flaps_at(since, damping.half_life_ms);
-        if flaps < 1.5 {
+        if flaps < FORGIVEN_FLAPS {
             return 0.0; // Once is no flap.
         }
-        (damping.first_ms * (flaps - 1.5).exp2()).min(damping.most_ms)
+        (damping.first_ms * (flaps - FORGIVEN_FLAPS).exp2()).min(damping.most_ms)
     }
 
     fn believe(&mut self, now: f64, key: &str) {
@@ -435,7 +460,7 @@
             State::Ready => self.ready += 1,
             State::Draining => {}
             State::Gone => {
-                if before == Some(State::Ready) {
+                if before != Some(State::Draining) {
                     self.withdrawn.push_back((now, key.to_owned()));
                 }
                 self.tombstones.push_back(key.to_owned());
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -136,7 +136,8 @@
         let mut next: Option<f64> = None;
         for source in 0..self.sources.len() {
             let mut affected = Affected::new();
-            let due = self.sources[source].settle(now, &mut affected, &mut notes);
+            let vouched = self.vouched(source);
+            let due = self.sources[source].settle(now, &vouched, &mut affected, &mut notes);
             ids.extend(self.ids_of(source, affected));
             next = next.into_iter().chain(due).reduce(f64::min);
         }
@@ -151,6 +152,23 @@
         self.waking = next;
     }
 
+    /// Of what a source that does not panic alone has not been believed in yet, the servers that another calls ready.
+    fn vouched(&self, source: SourceId) -> Affected {
+        let held = &self.sources[source];
+        if held.trust.panics_alone || held.trust.match_by == MatchBy::Address {
+            return Affected::new();
+        }
+        let others = || {
+            self.sources.iter().enumerate().filter(|(at, other)| *at != source && other.age() != Age::Aged)
+        };
+        let is_vouched = |id: &&String| {
+            others().any(|(_, other)| {
+                self.key_at(other, id).and_then(|key| other.state(key)) == Some(State::Ready)
+            })
+        };
+        held.pending().iter().filter(is_vouched).cloned().collect()
+    }
+
     /// All servers of the view.
     pub fn hosts(&self) -> impl Iterator<Item = &Host> {
         self.servers.values().filter_map(|server| server.told.as_ref())
--- a/crates/membership/tests/sources.rs
+++ b/crates/membership/tests/sources.rs
@@ -76,6 +76,38 @@
     assert_eq!(play.ready(), 1, "said for long enough");
 }
 
+/// Guards against a node that starts while Consul's checks all fail for a reason of its own: nothing was known of the
+/// servers then, and all the same others name them.
+#[test]
+fn the_first_answer_takes_no_more_away_than_any_other() {
+    for (authority, critical, ready) in
+        [(Authority::Fresh, 1, 9), (Authority::Fresh, 9, 10), (Authority::Stale, 10, 10)]
+    {
+        let mut play = Play::new(Trust::advisor("consul"));
+        play.say(ROSTER, words(0..10, State::Ready, 1));
+        let mut all = words(0..10, State::Ready, 10);
+        all[..critical].iter_mut().for_each(|word| word.state = State::Gone);
+        play.list(CONSUL, authority, 0, all);
+        assert_eq!(play.ready(), ready, "{critical} of 10, {authority:?}");
+        play.pass(29_000.0);
+        assert_eq!(play.ready(), ready);
+        play.pass(1_000.0);
+        assert_eq!(play.ready(), if authority == Authority::Fresh { 10 - critical } else { 10 });
+    }
+}
+
+/// The roster is believed at once where no other source calls the servers ready, and otherwise once it has stood.
+#[test]
+fn the_roster_is_doubted_only_against_another_source() {
+    let mut play = Play::new(Trust::advisor("consul"));
+    play.say(ROSTER, words(0..10, State::Ready, 1));
+    play.say(CONSUL, words(0..4, State::Ready, 10));
+    play.leave(ROSTER, 2, (0..9).map(|id| format!("s-{id}")));
+    assert_eq!(play.ready(), 5, "four that Consul vouches for, and the one that is left");
+    play.pass(30_000.0);
+    assert_eq!(play.ready(), 1);
+}
+
 #[test]
 fn a_source_that_forgets_all_and_remembers_again_changes_nothing() {
     let mut play = advised(10);
@@ -254,7 +286,11 @@
 #[test]
 fn words_by_address_follow_a_server_to_where_the_roster_says_it_is() {
     let mut play = by_address();
-    play.say(CONSUL, vec![at("s-0", State::Draining, 10), at("s-7", State::Gone, 10)]);
+    let others = [at("s-1", State::Ready, 10), at("s-2", State::Ready, 10)];
+    play.say(
+        CONSUL,
+        [vec![at("s-0", State::Draining, 10), at("s-7", State::Gone, 10)], others.into()].concat(),
+    );
     assert_eq!(play.state("s-0"), State::Draining);
     // It moves to an address that Consul calls gone, then to one that Consul says nothing of.
     for (to, state) in [("s-7", State::Gone), ("s-8", State::Ready)] {
@@ -302,9 +338,10 @@
 
 #[test]
 fn a_source_that_names_too_many_is_bounded_and_says_so_once() {
-    let mut play = Play::new(Trust::advisor("consul"));
+    let mut play = Play::new(Trust { names: true, ..Trust::advisor("consul") });
     play.say(CONSUL, words(0..MOST_SERVERS + 100, State::Ready, 1));
     play.say(CONSUL, words(0..MOST_SERVERS + 100, State::Ready, 2));
+    assert_eq!(play.ready(), MOST_SERVERS);
     assert_eq!(play.notes.iter().filter(|note| matches!(note, Note::TooMany { .. })).count(), 1);
 }
 
--- a/crates/pool/src/memory.rs
+++ b/crates/pool/src/memory.rs
@@ -3,6 +3,8 @@
 /// An address that has failed is put behind the others for the first of these, doubled with each further failure, up
 /// to the second.
 const BACKOFF_MS: [f64; 2] = [1_000.0, 60_000.0];
+/// Failures that are counted at the most: the wait is at its longest long before.
+const MOST_FAILURES: u32 = 16;
 /// Closes of one address within this time of one another are a burst (a restart), and tell nothing of idle time ...
 const BURST_MS: f64 = 100.0;
 /// ... from so many on.
@@ -45,7 +47,7 @@
 
     /// It could not be reached, or connections to it break before a request is out.
     pub fn failed(&mut self, now: f64) {
-        self.failures = (self.failures + 1).min(16);
+        self.failures = (self.failures + 1).min(MOST_FAILURES);
         let wait = BACKOFF_MS[0] * f64::from(self.failures - 1).exp2();
         (self.until, self.testing) = (now + wait.min(BACKOFF_MS[1]), false);
     }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -6,7 +6,7 @@
 use crate::memory::{IdleMemory, Memory, Standing};
 use crate::odd::Oddness;
 
-/// The most addresses of a server: three kinds, each twice, and some to spare. Further ones are passed over.
+/// The most addresses of a server: three kinds, each twice, and some to spare. Of more the first in their order count.
 pub const MOST_ADDRESSES: usize = 8;
 /// RFC 8305, section 5: the recommended delay between two attempts.
 const STAGGER_MS: f64 = 250.0;
@@ -14,6 +14,10 @@
 const TEST_STAGGER_MS: f64 = 20.0;
 /// Dials in a row to a server that has just started; the rate after them is in [`Limits`].
 const COLD_BURST: f64 = 8.0;
+/// A cold server that may not be dialled yet is looked at again no sooner than after this part of a dial's time, and
+/// dialled no more seldom than at this rate, whatever the limit says.
+const LEAST_ALLOWANCE: f64 = 0.01;
+const LEAST_COLD_DIALS_PER_S: f64 = 0.1;
 /// Waits within this time are a rising load ...
 const RISING_MS: f64 = 100.0;
 /// ... from so many on.
@@ -279,11 +283,11 @@
         let old: Vec<_> = before.iter().map(|known| known.id).collect();
         let mut listed: Vec<Route> = Vec::new();
         for route in routes {
-            if listed.len() < MOST_ADDRESSES && listed.iter().all(|other| other.address != route.address) {
+            if listed.iter().all(|other| other.address != route.address) {
                 listed.push(route);
             }
         }
-        for at in order(&listed) {
+        for at in order(&listed).into_iter().take(MOST_ADDRESSES) {
             let route = listed[at].clone();
             let same = before.iter().position(|known| known.route.address == route.address);
             held.routes.push(match same {
@@ -395,19 +399,7 @@
         let Some(server) = self.tickets.remove(&ticket) else { return };
         let Some(held) = self.servers.get_mut(&server) else { return };
         held.waiting.retain(|waiting| waiting.ticket != ticket);
-        let race = held.races.iter().position(|race| race.ticket == Some(ticket));
-        if let Some(at) = race {
-            // Another who waits without a race takes this one over; if there is none it is of no use.
-            let races = &held.races;
-            let heir = held.waiting.iter().find(|w| races.iter().all(|race| race.ticket != Some(w.ticket)));
-            match heir.map(|heir| heir.ticket) {
-                Some(heir) => held.races[at].ticket = Some(heir),
-                None => {
-                    let race = held.races.remove(at);
-                    self.abort(race, actions);
-                }
-            }
-        }
+        self.release(server, ticket, actions);
         self.serve(now, server, actions);
     }
 
@@ -577,7 +569,8 @@
         }
     }
 
-    /// A ticket has its connection by another way than its own race: that goes on for another who waits, or ends.
+    /// A ticket has no more use for its race, as it has its connection by another way or waits no more: the race goes on
+    /// for another who waits without one, or ends.
     fn release(&mut self, server: ServerKey, ticket: Ticket, actions: &mut Vec<Action>) {
         let Some(held) = self.servers.get_mut(&server) else { return };
         let Some(at) = held.races.iter().position(|race| race.ticket == Some(ticket)) else { return };
@@ -815,7 +808,8 @@
             return true;
         }
         let (left, at) = self.allowance;
-        let regained = if at.is_finite() { (now - at).max(0.0) * per_s / 1e3 } else { 0.0 };
+        let regained =
+            if at.is_finite() { (now - at).max(0.0) * per_s.max(LEAST_COLD_DIALS_PER_S) / 1e3 } else { 0.0 };
         self.allowance = ((left + regained).min(COLD_BURST), now);
         self.allowance.0 >= 1.0
     }
@@ -848,7 +842,8 @@
         // Who waits without a race waits for a rest, or until a cold server may be dialled again.
         let is_held_back =
             now < self.cold_until && self.waiting.len() > self.races.len() && self.races.len() < most_dials;
-        let allowed = now + (1.0 - self.allowance.0).max(0.01) * 1e3 / cold_per_s.max(0.1);
+        let allowed = now
+            + (1.0 - self.allowance.0).max(LEAST_ALLOWANCE) * 1e3 / cold_per_s.max(LEAST_COLD_DIALS_PER_S);
         let rested = if self.waiting.is_empty() { f64::INFINITY } else { rested };
         races.fold(rested, f64::min).min(if is_held_back { allowed } else { f64::INFINITY })
     }
--- a/crates/pool/tests/model.rs
+++ b/crates/pool/tests/model.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pool::{Action, Closed, ConnId, DialId, Limits, Pool, Route, ServerKey, Taken, Ticket};
+use pool::{Action, Closed, ConnId, DialId, Limits, Pool, Route, RouteId, ServerKey, Taken, Ticket};
 use proptest::prelude::*;
 
 const SERVERS: usize = 3;
@@ -15,7 +15,9 @@
     dials: BTreeSet<DialId>,
     idle: BTreeSet<ConnId>,
     used: BTreeMap<ConnId, usize>,
-    waiting: BTreeMap<Ticket, (usize, f64)>,
+    waiting: BTreeMap<Ticket, (usize, Vec<RouteId>)>,
+    /// What was granted in the last step, and what it was to avoid.
+    granted: Vec<(ConnId, Vec<RouteId>)>,
     wake_at: Option<f64>,
 }
 
@@ -26,7 +28,8 @@
                 Action::Dial { dial, .. } => assert!(self.dials.insert(dial), "dialled twice"),
                 Action::Abort { dial } => assert!(self.dials.remove(&dial), "nothing to abort"),
                 Action::Grant { ticket, conn } => {
-                    let (server, _) = self.waiting.remove(&ticket).expect("somebody waits");
+                    let (server, avoid) = self.waiting.remove(&ticket).expect("somebody waits");
+                    self.granted.push((conn, avoid));
                     self.idle.remove(&conn);
                     assert!(self.used.insert(conn, server).is_none(), "a connection in two hands");
                 }
@@ -69,14 +72,24 @@
         let at = random.usize(..SERVERS);
         let server = ServerKey(at);
         match random.u8(..24) {
-            0..=7 => match pool.take(now, server, &[], &mut actions) {
-                Taken::Now(conn) => {
-                    assert!(model.idle.remove(&conn), "not idle");
-                    assert!(model.used.insert(conn, at).is_none(), "a connection in two hands");
+            0..=7 => {
+                let used = model.used.keys().copied().filter(|_| random.u8(..4) == 0);
+                let avoid: Vec<_> = used.filter_map(|conn| pool.route_of(conn)).collect();
+                match pool.take(now, server, &avoid, &mut actions) {
+                    Taken::Now(conn) => {
+                        assert!(model.idle.remove(&conn), "not idle");
+                        assert!(!avoid.contains(&pool.route_of(conn).expect("in use")));
+                        if random.u8(..8) == 0 {
+                            let how = if random.bool() { Closed::ByPeer } else { Closed::Odd };
+                            pool.stale(now, conn, how, random.f64() * 5_000.0, &mut actions);
+                        } else {
+                            assert!(model.used.insert(conn, at).is_none(), "a connection in two hands");
+                        }
+                    }
+                    Taken::Later(ticket) => drop(model.waiting.insert(ticket, (at, avoid))),
+                    Taken::Never(_) => {}
                 }
-                Taken::Later(ticket) => drop(model.waiting.insert(ticket, (at, now))),
-                Taken::Never(_) => {}
-            },
+            }
             8..=12 => {
                 if let Some(dial) = random.choice(model.dials.iter().copied()) {
                     model.dials.remove(&dial);
@@ -125,6 +138,10 @@
             pool.due(due.max(now), &mut actions);
             model.note(now, actions);
         }
+        for (conn, avoid) in model.granted.drain(..) {
+            let route = pool.route_of(conn);
+            assert!(route.is_none_or(|route| !avoid.contains(&route)), "granted by an address to avoid");
+        }
         let open = model.dials.len() + model.idle.len() + model.used.len();
         assert_eq!(pool.open(), open, "descriptors leak");
         assert!(open <= MOST_OPEN, "beyond the bound");
--- a/crates/pool/tests/races.rs
+++ b/crates/pool/tests/races.rs
@@ -110,6 +110,16 @@
         self.note();
     }
 
+    /// A server that has been odd, with one idle connection that has not rested.
+    fn odd() -> (Self, ConnId) {
+        let mut play = Self::new(&[V4]);
+        let conn = play.conn(V4);
+        play.ended(conn, Closed::Odd);
+        let conn = play.conn(V4);
+        play.give_back(conn);
+        (play, conn)
+    }
+
     /// A connection by this address, granted and in use.
     fn conn(&mut self, text: &str) -> ConnId {
         self.ticket();
@@ -305,6 +315,16 @@
     assert_eq!(all, [(UNIX.to_owned(), 0), (V4.to_owned(), 0), (V6.to_owned(), 1)]);
 }
 
+#[test]
+fn of_too_many_addresses_the_first_in_their_order_count() {
+    let texts: Vec<_> = (0..12).map(|n| format!("10.0.0.{n}:80")).collect();
+    let mut texts: Vec<_> = texts.iter().map(String::as_str).collect();
+    texts.push(UNIX);
+    let play = Play::new(&texts);
+    let all = play.pool.routes(play.now, SERVER);
+    assert_eq!((all.len(), all[0].0.address.to_string()), (pool::MOST_ADDRESSES, UNIX.to_owned()));
+}
+
 #[test]
 fn a_server_that_is_forgotten_fails_who_waits_and_leaks_nothing() {
     let mut play = Play::new(&[V4]);
@@ -367,11 +387,7 @@
 
 #[test]
 fn an_odd_server_is_waited_for_and_the_others_are_not() {
-    let mut play = Play::new(&[V4]);
-    let conn = play.conn(V4);
-    play.ended(conn, Closed::Odd);
-    let conn = play.conn(V4);
-    play.give_back(conn);
+    let (mut play, conn) = Play::odd();
     let ticket = play.ticket();
     assert!(play.out.is_empty(), "a rest is shorter than a dial");
     play.pass(4.9);
@@ -387,11 +403,7 @@
 
 #[test]
 fn who_waits_for_a_rest_is_dialled_for_if_the_connection_ends() {
-    let mut play = Play::new(&[V4]);
-    let conn = play.conn(V4);
-    play.ended(conn, Closed::Odd);
-    let conn = play.conn(V4);
-    play.give_back(conn);
+    let (mut play, conn) = Play::odd();
     let ticket = play.ticket();
     play.ended(conn, Closed::Odd);
     assert_eq!(play.dialled(), [V4]);
--- a/src/net/consul.rs
+++ b/src/net/consul.rs
@@ -1,6 +1,7 @@
 //! Consul's agents over sockets: carries out what a [`Watch`] asks for and brings the view what it tells.
 
 use std::future::{pending, Future};
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::pin::Pin;
@@ -11,26 +12,23 @@
 use consul::{Action, Event, News, Said, State as Stated, Trouble, Watch, WatchSettings};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HeaderValue, ACCEPT, HOST};
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use membership::{Authority, Host, List, SourceId, State, Trust, Word};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
 
+use super::connection::Connection;
 use super::log;
 use super::members::Members;
 
 /// How long a connection to an agent may take: it is near.
 const CONNECTING: Duration = Duration::from_secs(2);
-/// The most of an answer's head, and of its body that is read at a time: one piece is dealt with in a fraction of a
-/// millisecond, and other tasks run between two.
-const BUFFER: usize = 64 * 1024;
 /// The longest token; Consul's own are 36 characters.
 const MOST_TOKEN: usize = 4 * 1024;
-/// An agent's machine that has vanished is noticed in about twenty seconds, and not at the end of the wait alone.
+/// An agent's machine that has vanished is noticed after these: quiet for the first, then so many times the second
+/// without an answer. That is 20 s, and not the end of the wait.
 const KEEPALIVE: (Duration, Duration) = (Duration::from_secs(10), Duration::from_secs(5));
+const KEEPALIVE_RETRIES: u32 = 2;
 
 /// A service to follow.
 #[derive(Clone, Debug, PartialEq)]
@@ -127,21 +125,8 @@
     Broken(String),
 }
 
-/// An answer, with the connection that it came on.
-type Asked = Result<(Response<Incoming>, Connection), String>;
-
-/// A connection to an agent. Dropping it closes the socket.
-struct Connection {
-    agent: usize,
-    sender: SendRequest<Empty<Bytes>>,
-    task: tokio::task::AbortHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
+/// An answer, with the agent and the connection that it came from.
+type Asked = Result<(Response<Incoming>, usize, Connection), String>;
 
 enum Step {
     Idle,
@@ -153,7 +138,8 @@
 struct Exchange {
     settings: ConsulSource,
     state: Step,
-    connection: Option<Connection>,
+    /// And which agent it goes to.
+    connection: Option<(usize, Connection)>,
 }
 
 impl Exchange {
@@ -162,17 +148,17 @@
     }
 
     fn ask(&mut self, agent: usize, path: &str) {
-        let kept = self.connection.take().filter(|kept| kept.agent == agent && kept.sender.is_ready());
+        let kept = self.connection.take().filter(|(to, kept)| *to == agent && kept.is_ready());
         let address = self.settings.agents[agent];
         let request = self.request(address, path);
         self.state = Step::Asking(Box::pin(async move {
             let request = request?;
             let mut connection = match kept {
-                Some(kept) => kept,
-                None => connect(agent, address).await?,
+                Some((_, kept)) => kept,
+                None => connect(address).await?,
             };
-            let answer = connection.sender.send_request(request).await;
-            Ok((answer.map_err(|error| error.to_string())?, connection))
+            let answer = connection.ask(request).await;
+            Ok((answer.map_err(|error| error.to_string())?, agent, connection))
         }));
     }
 
@@ -202,8 +188,8 @@
         let came = match &mut self.state {
             Step::Idle => pending().await,
             Step::Asking(asked) => match asked.await {
-                Ok((answer, connection)) => {
-                    self.connection = Some(connection);
+                Ok((answer, agent, connection)) => {
+                    self.connection = Some((agent, connection));
                     Came::Head(answer)
                 }
                 Err(why) => Came::Broken(why),
@@ -251,7 +237,11 @@
 
 /// The token, read anew for each query, so that it can be replaced while the node runs.
 fn token(file: &std::path::Path) -> Result<HeaderValue, String> {
-    let text = std::fs::read(file).map_err(|error| format!("the token's file cannot be read: {error}"))?;
+    let unreadable = |error: io::Error| format!("the token's file cannot be read: {error}");
+    let mut text = Vec::new();
+    // Guards against a file that has no end.
+    let mut limited = std::fs::File::open(file).map_err(unreadable)?.take(MOST_TOKEN as u64 + 1);
+    limited.read_to_end(&mut text).map_err(unreadable)?;
     let text = text.trim_ascii();
     let mut value =
         HeaderValue::from_bytes(text).ok().filter(|_| !text.is_empty() && text.len() <= MOST_TOKEN);
@@ -261,17 +251,10 @@
     value.ok_or_else(|| "the token's file holds no token".to_owned())
 }
 
-async fn connect(agent: usize, address: SocketAddr) -> Result<Connection, String> {
-    let stream = tokio::time::timeout(CONNECTING, TcpStream::connect(address)).await;
-    let stream =
-        stream.map_err(|_| "no connection in time".to_owned())?.map_err(|error| error.to_string())?;
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE.0).with_interval(KEEPALIVE.1);
-    let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive); // Without it the wait's end is the bound.
-    let io = TokioIo::new(stream);
-    let (sender, connection) =
-        Builder::new().max_buf_size(BUFFER).handshake(io).await.map_err(|error| error.to_string())?;
-    let task = tokio::task::spawn_local(async move {
-        let _ = connection.await; // What breaks here shows in the answer.
-    });
-    Ok(Connection { agent, sender, task: task.abort_handle() })
+async fn connect(address: SocketAddr) -> Result<Connection, String> {
+    let keepalive =
+        TcpKeepalive::new().with_time(KEEPALIVE.0).with_interval(KEEPALIVE.1).with_retries(KEEPALIVE_RETRIES);
+    let opened = Connection::open(address, |stream| SockRef::from(stream).set_tcp_keepalive(&keepalive));
+    let opened = tokio::time::timeout(CONNECTING, opened).await;
+    opened.map_err(|_| "no connection in time".to_owned())?.map_err(|error| error.to_string())
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,14 +7,13 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
-use hyper::client::conn::http1;
+use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use super::config::HostList;
+use super::connection::Connection;
 use super::log;
 use super::members::Members;
 
@@ -157,34 +156,16 @@
     }
 }
 
-/// Ends a connection's task with its owner.
-struct Ends {
-    task: tokio::task::AbortHandle,
-    /// A connection ends with its sender.
-    _sender: http1::SendRequest<Empty<Bytes>>,
-}
-
-impl Drop for Ends {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn open(address: SocketAddr, version: Option<u64>) -> Result<(hyper::body::Incoming, Ends), End> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let task = tokio::task::spawn_local(async move {
-        let _ = connection.await; // What breaks here shows in the body.
-    });
+async fn open(address: SocketAddr, version: Option<u64>) -> Result<(Incoming, Connection), End> {
+    let mut connection = Connection::open(address, |_| Ok(())).await?;
     let from = version.map(|version| format!("&from={version}")).unwrap_or_default();
     let request = Request::get(format!("/discovery/hosts?watch=1{from}"))
         .header(HOST, address.to_string())
         .body(Empty::<Bytes>::new())
         .map_err(|error| End::Lost(error.to_string()))?;
-    let answer = sender.send_request(request).await?;
+    let answer = connection.ask(request).await?;
     if answer.status() != StatusCode::OK {
         return Err(End::Lost(format!("discovery answered {}", answer.status())));
     }
-    Ok((answer.into_body(), Ends { task: task.abort_handle(), _sender: sender }))
+    Ok((answer.into_body(), connection))
 }
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -17,6 +17,9 @@
 /// The roster's place among the sources.
 const ROSTER: SourceId = 0;
 
+/// The longest sleep between two looks at the clock.
+const LONGEST_SLEEP: Duration = Duration::from_secs(3_600);
+
 /// Takes what the sources say and brings the driver what changes.
 pub struct Members {
     driver: Rc<Driver>,
@@ -145,7 +148,7 @@
                 self.feed(Event::Due);
                 continue;
             }
-            let left = Duration::try_from_secs_f64(left_ms / 1e3).unwrap_or(Duration::from_secs(3_600));
+            let left = Duration::try_from_secs_f64(left_ms / 1e3).unwrap_or(LONGEST_SLEEP).min(LONGEST_SLEEP);
             tokio::select! {
                 () = tokio::time::sleep(left) => {}
                 () = view.earlier.notified() => {}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod clients;
 pub mod config;
+mod connection;
 pub mod consul;
 pub mod discovery;
 pub mod driver;
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -20,6 +20,8 @@
 /// The most agents of a source, and sources: each takes a connection and a place in every look at a server.
 const MOST_AGENTS: usize = 16;
 const MOST_SOURCES: usize = 16;
+/// The longest name of a source: it stands in many lines of the log.
+const MOST_NAME: usize = 64;
 
 /// What the operators' file turns on. The default is what holds without one: nothing.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -190,6 +192,7 @@
     zone: Option<PlaceText>,
     kind: Option<PlaceText>,
     cell: Option<PlaceText>,
+    weight: Option<PlaceText>,
     started_at_ms: Option<PlaceText>,
     #[serde(default)]
     states: RawStates,
@@ -279,9 +282,21 @@
 
 figure!(Share, 0.0..=1.0, "a share lies between 0 and 1");
 figure!(Seconds, 0.0..=86_400.0, "a time lies between 0 and 86400 seconds");
-figure!(Wait, 1.0..=600.0, "a wait lies between 1 and 600 seconds, as Consul has it");
 figure!(Pace, 10.0..=10_000.0, "a pace lies between 10 and 10000 milliseconds");
 
+/// How long a blocking query may stand, as the API pages have it.
+#[derive(Clone, Copy)]
+struct Wait(u32);
+
+impl<'de> Deserialize<'de> for Wait {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        match u32::deserialize(from)? {
+            wait @ 1..=600 => Ok(Self(wait)),
+            _ => Err(serde::de::Error::custom("a wait lies between 1 and 600 whole seconds")),
+        }
+    }
+}
+
 struct PlaceText(Place);
 
 impl<'de> Deserialize<'de> for PlaceText {
@@ -341,8 +356,8 @@
 
 impl RawConsul {
     fn check(self) -> Result<ConsulSource, Wrong> {
-        if self.name.get_ref().is_empty() || self.name.get_ref().len() > 64 {
-            return Err(wrong(&self.name, "a name has 1 to 64 bytes"));
+        if !(1..=MOST_NAME).contains(&self.name.get_ref().len()) {
+            return Err(wrong(&self.name, format!("a name has 1 to {MOST_NAME} bytes")));
         }
         if self.service.get_ref().is_empty() {
             return Err(wrong(&self.service, "a service has a name"));
@@ -384,7 +399,7 @@
                 RawConsistency::Consistent => Consistency::Consistent,
                 RawConsistency::Cached => Consistency::Cached,
             },
-            wait_s: self.wait_s.map_or(60, |wait| wait.0 as u32),
+            wait_s: self.wait_s.map_or(60, |wait| wait.0),
         };
         let ordinary = Mapping::default();
         let [passing, warning, critical, maintenance] = ordinary.states;
@@ -406,6 +421,7 @@
             zone: self.zone.map(|place| place.0),
             kind: self.kind.map(|place| place.0),
             cell: self.cell.map(|place| place.0),
+            weight: self.weight.map(|place| place.0),
             started_at_ms: self.started_at_ms.map(|place| place.0),
         };
         let mut watch = WatchSettings::new(query, mapping, count);
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -22,6 +22,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use membership::{Host, State};
+use pool::Oddness;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -43,14 +44,6 @@
 /// An answer is sent as one: how long one that has begun may stand still in its head, and take for its body. That is
 /// many trips between data centres, and short enough to leave time for another attempt.
 const ANSWER_STALL: Duration = Duration::from_millis(250);
-/// How long a connection is left alone after an answer of a server that has brought bytes unasked: those come right
-/// behind an answer. A longer rest costs more than it shows.
-const REST: Duration = Duration::from_millis(5);
-/// In this time half of the times are forgotten. Of one, too little to rest for is left after two minutes; of many,
-/// after five.
-const ODD_HALF_LIFE: Duration = Duration::from_secs(60);
-const ODD_LEAST: f64 = 0.25;
-const ODD_MOST: f64 = 8.0;
 /// A connection is retired after this part of the time that it may stand idle: it must not be closed under a
 /// request.
 const IDLE_PART: f64 = 0.8;
@@ -312,10 +305,10 @@
 
 impl Conn {
     /// Whether it is usable; what it brought unasked is noted.
-    fn is_sound(&mut self, odd: &mut Oddness) -> bool {
+    fn is_sound(&mut self, odd: &mut Oddness, now_ms: f64) -> bool {
         let is_usable = self.is_usable();
         if !is_usable && self.traffic.unasked.get() {
-            odd.note(Instant::now());
+            odd.note(now_ms);
         }
         is_usable
     }
@@ -361,36 +354,6 @@
     odd: Oddness,
 }
 
-/// How often a server has brought bytes unasked of late. Guards against bytes that are taken for the answer to the next
-/// request: they come right behind an answer, so that a rest after it shows them. Who has never done it is not waited
-/// for.
-#[derive(Default)]
-struct Oddness {
-    score: f64,
-    at: Option<Instant>,
-}
-
-impl Oddness {
-    fn score(&self, now: Instant) -> f64 {
-        let age = self.at.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
-        self.score * (-age / ODD_HALF_LIFE.as_secs_f64()).exp2()
-    }
-
-    fn note(&mut self, now: Instant) {
-        self.score = (self.score(now) + 1.0).min(ODD_MOST);
-        self.at = Some(now);
-    }
-
-    /// How long a connection is left alone after an answer.
-    fn rest(&self, now: Instant) -> Duration {
-        if self.score(now) < ODD_LEAST {
-            Duration::ZERO
-        } else {
-            REST
-        }
-    }
-}
-
 /// Room for large answers. Guards the limit on memory: servers could fill it with answers of ordinary number.
 #[derive(Clone)]
 struct Room(Arc<AtomicUsize>);
@@ -442,6 +405,8 @@
     dial_timeout: Duration,
     idle_limit: Duration,
     drain_grace: Duration,
+    /// What the pool's milliseconds count from.
+    start: Instant,
 }
 
 impl Servers {
@@ -457,9 +422,14 @@
             dial_timeout: config.dial_timeout,
             idle_limit: config.idle_limit.mul_f64(IDLE_PART),
             drain_grace: config.drain_grace,
+            start: Instant::now(),
         }
     }
 
+    fn ms(&self, at: Instant) -> f64 {
+        at.saturating_duration_since(self.start).as_secs_f64() * 1e3
+    }
+
     /// Takes what discovery says of a server that is there; idle connections to one that is somewhere else or has
     /// started anew are of no more use. Tells which server cannot be there any more: there is one at an address, the
     /// one that started last. What is meant for one that is gone must not reach its successor.
@@ -515,7 +485,9 @@
         let now = Instant::now();
         for server in self.table.borrow_mut().values_mut() {
             let (idle, odd) = (&mut server.idle, &mut server.odd);
-            idle.retain_mut(|conn| now - conn.idle_since < self.idle_limit && conn.is_sound(odd));
+            idle.retain_mut(|conn| {
+                now - conn.idle_since < self.idle_limit && conn.is_sound(odd, self.ms(now))
+            });
         }
     }
 
@@ -541,17 +513,16 @@
         let mut table = self.table.borrow_mut();
         let server = table.get_mut(&at)?;
         let now = Instant::now();
-        while let Some(rested) =
-            server.idle.iter().rposition(|conn| now - conn.idle_since >= server.odd.rest(now))
-        {
+        let rest = Duration::from_secs_f64(server.odd.rest_ms(self.ms(now)) / 1e3);
+        while let Some(rested) = server.idle.iter().rposition(|conn| now - conn.idle_since >= rest) {
             let mut conn = server.idle.remove(rested);
             // Guards against a request on a connection that the server has closed meanwhile: it would end as
             // a reset, and a reset may have run.
-            if now - conn.idle_since < self.idle_limit && conn.is_sound(&mut server.odd) {
+            if now - conn.idle_since < self.idle_limit && conn.is_sound(&mut server.odd, self.ms(now)) {
                 return Some(Ok(conn));
             }
         }
-        server.idle.first().map(|conn| Err(conn.idle_since + server.odd.rest(now)))
+        server.idle.first().map(|conn| Err(conn.idle_since + rest))
     }
 
     /// Guards the limit on descriptors: the connection that has been idle longest makes room.
@@ -579,7 +550,7 @@
 
     fn note_odd(&self, at: ServerId) {
         if let Some(server) = self.table.borrow_mut().get_mut(&at) {
-            server.odd.note(Instant::now());
+            server.odd.note(self.ms(Instant::now()));
         }
     }
 
@@ -587,7 +558,7 @@
         let Some(mut conn) = slot.0.borrow_mut().take() else { return };
         let mut table = self.table.borrow_mut();
         let Some(server) = table.get_mut(&at) else { return };
-        if conn.is_sound(&mut server.odd) && server.closes_at.is_none() {
+        if conn.is_sound(&mut server.odd, self.ms(Instant::now())) && server.closes_at.is_none() {
             conn.idle_since = Instant::now();
             server.idle.push(conn);
         }
@@ -779,22 +750,6 @@
     use super::*;
     use std::io::Write;
 
-    /// Guards against a wait that every request pays, and against none for a server that needs one.
-    #[test]
-    fn a_rest_is_for_servers_that_brought_bytes_unasked_and_it_fades() {
-        let (mut odd, now) = (Oddness::default(), Instant::now());
-        assert_eq!(odd.rest(now), Duration::ZERO);
-        let rests_for = |odd: &Oddness| {
-            (0..1_000).map(Duration::from_secs).find(|after| odd.rest(now + *after) == Duration::ZERO)
-        };
-        odd.note(now);
-        assert_eq!(odd.rest(now), REST);
-        let once = rests_for(&odd).expect("it fades");
-        (0..100).for_each(|_| odd.note(now));
-        let often = rests_for(&odd).expect("it fades");
-        assert!(once >= Duration::from_secs(60) && often > once && often < 4 * once, "{once:?}, {often:?}");
-    }
-
     /// Guards against large answers that fill the memory, and against room that is not given back.
     #[test]
     fn large_answers_are_held_while_there_is_room() {
--- a/tests/consul.rs
+++ b/tests/consul.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use testkit::consul::{Consul, Fault, Instance};
+use testkit::link::{Fault as Spoils, Link, Plan};
 use testkit::*;
 
 /// The rule on drains.
@@ -223,6 +224,83 @@
     assert!(log.len() < 120, "{} lines", log.len());
 }
 
+/// Two agents with different worlds that answer in turn: the one that is behind undoes nothing.
+#[test]
+fn an_agent_that_is_behind_another_undoes_no_drain() {
+    let servers = servers(3);
+    let (ahead, behind) = (registered(&servers), registered(&servers));
+    ahead.set_maintenance("s-1", true);
+    let discovery = Discovery::start();
+    let known = list(1, true, &entries(&servers, |_| "ready"));
+    let config = config(discovery.address, &known, &settings(15_000));
+    let both = format!(
+        "[[consul]]\nname = \"c\"\nservice = \"holds\"\nagents = [\"{}\", \"{}\"]\nwait_s = 1\n",
+        ahead.address, behind.address
+    );
+    let town = Town {
+        node: Node::start_with(&config, Some(&both)),
+        watch: discovery.watch(),
+        consul: ahead.clone(),
+        servers,
+        discovery,
+        generation: 1,
+    };
+    town.until_asked(&[0, 2]);
+    for turn in 0..6 {
+        let (gone, there) = if turn % 2 == 0 { (&ahead, &behind) } else { (&behind, &ahead) };
+        there.set_vanished(false);
+        let told = there.told().len();
+        gone.set_vanished(true);
+        until("the other agent answers", || there.told().len() > told);
+        assert!(!town.asked(6).contains(&1), "turn {turn}");
+    }
+}
+
+/// The way to the agent cuts, delays and repeats at bytes all through its answers.
+#[test]
+fn a_link_that_spoils_answers_loses_no_request_and_no_drain() {
+    let servers = servers(3);
+    let consul = registered(&servers);
+    consul.set_maintenance("s-1", true);
+    let link = Link::start(consul.address, |nth| {
+        let fault = [Spoils::Cut, Spoils::Repeat(40), Spoils::Delay(Duration::from_millis(30))][nth / 2 % 3];
+        // Every other connection is sound, so that the waits between queries stay short.
+        let plan = if nth % 2 == 0 { Plan::at(60 + nth * 150, fault) } else { Plan::sound() };
+        (Plan::sound(), plan)
+    });
+    let discovery = Discovery::start();
+    let known = list(1, true, &entries(&servers, |_| "ready"));
+    let config = config(discovery.address, &known, &settings(15_000));
+    let file = operators(&consul, "").replace(&consul.address.to_string(), &link.address.to_string());
+    let town = Town {
+        node: Node::start_with(&config, Some(&file)),
+        watch: discovery.watch(),
+        consul,
+        servers,
+        discovery,
+        generation: 1,
+    };
+    town.until_asked(&[0, 2]);
+    let load = Load::start(town.node.address, 2, Duration::from_millis(1));
+    for _ in 0..8 {
+        let before = link.connections();
+        link.cut_all();
+        until("the node connects again", || link.connections() > before);
+        town.consul.set_status("s-0", "passing");
+        assert!(!town.asked(6).contains(&1));
+    }
+    until("a connection is sound", || {
+        link.cut_all();
+        std::thread::sleep(Duration::from_millis(300));
+        link.connections() % 2 == 0
+    });
+    town.consul.set_maintenance("s-1", false);
+    town.until_asked(&[0, 1, 2]);
+    let totals = load.end();
+    assert_eq!(totals.lost, 0);
+    assert!(totals.share_served() > 0.99, "{:?}", totals.answers);
+}
+
 #[test]
 fn the_token_goes_to_the_agent_and_into_no_log_and_a_new_one_is_taken() {
     let servers = servers(2);
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -49,6 +49,8 @@
         (more("waits = 3"), 5, "waits"),
         (more("wait_s = 0"), 5, "wait_s"),
         (more("wait_s = \"long\""), 5, "wait_s"),
+        (more("wait_s = 1.5"), 5, "wait_s"),
+        (more("weight = \"5\""), 5, "weight"),
         (more("api = \"agent\""), 5, "api"),
         (more("id = \"tags:x\""), 5, "id"),
         (more("zone = \"zone\""), 5, "zone"),
