--- /dev/null
+++ b/crates/measure/src/connections.rs
@@ -0,0 +1,95 @@
+//! What reusing connections costs: the node beside a plain proxy, in turn.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use testkit::{config, list, settings, Discovery, Load, Node, Reply, Server};
+
+use crate::system::{cpu, quantile};
+
+const SERVERS: usize = 12;
+const CONNECTIONS: [usize; 4] = [1, 8, 64, 256];
+const ROUNDS: usize = 3;
+const ROUND: Duration = Duration::from_secs(2);
+
+struct Proxy {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Proxy {
+    fn start(servers: &[Server]) -> Self {
+        let own = std::env::current_exe().expect("a program");
+        let addresses = servers.iter().map(|server| server.address.to_string());
+        let mut command = Command::new(own);
+        command.arg("plain-proxy").args(addresses).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("it starts");
+        let mut line = String::new();
+        BufReader::new(child.stderr.take().expect("piped")).read_line(&mut line).expect("a line");
+        let address = line.trim_end().rsplit(' ').next().and_then(|at| at.parse().ok());
+        Self { child, address: address.expect("an address") }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Prints the table.
+pub fn measure() {
+    println!(
+        "\n{SERVERS} servers that answer at once; {ROUNDS} rounds of {} s each, in turn; medians",
+        ROUND.as_secs()
+    );
+    println!(
+        "{:<12} {:<18} {:>10} {:>8} {:>8} {:>8}",
+        "connections", "", "requests/s", "p50 ms", "p99 ms", "CPU us"
+    );
+    let sound: Vec<_> = (0..SERVERS).map(|_| Server::start(|_| Reply::ok("rooms: 3\n")).quiet()).collect();
+    let (node, proxy) = (node(&sound), Proxy::start(&sound));
+    for connections in CONNECTIONS {
+        let mut all = [(); 2].map(|()| [(); 4].map(|()| Vec::new()));
+        for _ in 0..ROUNDS {
+            let [of_node, of_proxy] = &mut all;
+            round(node.0.address, node.0.process(), connections, of_node);
+            round(proxy.address, proxy.child.id(), connections, of_proxy);
+        }
+        let [node, proxy] = all.map(|mut all| all.each_mut().map(|one| quantile(one, 0.5)));
+        for (what, figures) in [("node", node), ("plain proxy", proxy)] {
+            row(connections, what, figures, 0);
+        }
+        row(connections, "ratio", [0, 1, 2, 3].map(|at| node[at] / proxy[at]), 3);
+    }
+}
+
+fn row(connections: usize, what: &str, [rate, p50, p99, cpu]: [f64; 4], digits: usize) {
+    println!("{connections:<12} {what:<18} {rate:>10.digits$} {p50:>8.2} {p99:>8.2} {cpu:>8.2}");
+}
+
+fn node(servers: &[Server]) -> (Node, Discovery, testkit::Watch) {
+    let discovery = Discovery::start();
+    let entries: Vec<_> =
+        servers.iter().enumerate().map(|(at, s)| s.entry(&format!("s-{at}"), "ready")).collect();
+    let node = Node::start(&config(discovery.address, &list(1, true, &entries), &settings(15_000)));
+    let watch = discovery.watch().kept_alive();
+    (node, discovery, watch)
+}
+
+fn round(address: SocketAddr, process: u32, connections: usize, figures: &mut [Vec<f64>; 4]) {
+    let (start, before) = (Instant::now(), cpu(process));
+    let load = Load::start(address, connections, Duration::ZERO);
+    thread::sleep(ROUND);
+    let totals = load.end();
+    let cpu = (cpu(process) - before).as_secs_f64();
+    assert_eq!(totals.lost, 0, "no request is lost");
+    figures[0].push(totals.sent as f64 / start.elapsed().as_secs_f64());
+    figures[1].push(totals.quantile(0.5).as_secs_f64() * 1e3);
+    figures[2].push(totals.quantile(0.99).as_secs_f64() * 1e3);
+    figures[3].push(cpu * 1e6 / totals.sent as f64);
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,7 +1,9 @@
 //! `cargo build --release && cargo run --release -p measure -- <subject>` prints a table of figures. Each subject
 //! measures what it compares within one run, in turn, so that a machine that is slower today is so for both.
 
+mod connections;
 mod following;
+mod proxy;
 mod system;
 
 use std::alloc::System;
@@ -13,10 +15,15 @@
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
-const SUBJECTS: [(&str, fn()); 1] = [("membership", following::measure)];
+const SUBJECTS: [(&str, fn()); 2] = [("membership", following::measure), ("pool", connections::measure)];
 
 fn main() -> ExitCode {
     let wanted = std::env::args().nth(1).unwrap_or_default();
+    if wanted == "plain-proxy" {
+        // The subject `pool` starts this program so, beside the node.
+        proxy::run(std::env::args().skip(2).filter_map(|at| at.parse().ok()).collect());
+        return ExitCode::SUCCESS;
+    }
     let Some((_, measure)) = SUBJECTS.iter().find(|(name, _)| *name == wanted) else {
         let names: Vec<_> = SUBJECTS.iter().map(|(name, _)| *name).collect();
         eprintln!("measure: name a subject: {}", names.join(", "));
