Look at no server again when a source is lost or found, and bound the reading of files

Cause: each time Consul went out of touch or came back, all servers that it names were merged again, though held words and fresh ones lead to the same verdict. The operators' file was read whole before its size was looked at, so that `check /dev/zero` did not end; an error within a value of several lines named no key.

Change: `hold` marks nothing; a fresh list marks all only after its words had aged. The file is read up to its bound; an error names the nearest key before it. The load of the testkit keeps 200,000 times at the most. `measure membership` shows the merging, and `membership-path` the request's path with new nodes in each round.

--- a/crates/measure/src/following.rs
+++ b/crates/measure/src/following.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use consul::{Event, Mapping, Query, Watch, WatchSettings};
-use membership::{Authority, List, Membership, State, Trust, Word};
+use membership::{Authority, Host, List, Membership, State, Trust, Word};
 use testkit::consul::{Consul, Instance};
 use testkit::{config, list, settings, until, Discovery, Load, Node, Reply, Server, Watch as Open};
 
@@ -17,13 +17,14 @@
 const MANY: usize = 5_000;
 const CHANGES_A_SECOND: u64 = 100;
 const FOLLOWING: Duration = Duration::from_secs(10);
-const PAIRS: usize = 5;
-const PAIR: Duration = Duration::from_secs(3);
+const ROUNDS: usize = 15;
+const ROUND: Duration = Duration::from_millis(1_500);
 
 /// Prints all of it.
 pub fn measure() {
     time_to_know();
     allocations();
+    merging();
     many_instances();
     requests();
 }
@@ -156,23 +157,37 @@
         let ms = took.as_secs_f64() * 1e3;
         println!("{what:<44} {:>12} {:>10} {ms:>8.2}", after.bytes_allocated, after.allocations);
     }
+}
+
+/// What the merge of so many servers takes.
+fn merging() {
+    println!("\nmerging {MANY} servers of two sources");
+    println!("{:<44} {:>12} {:>10} {:>8}", "", "bytes alloc.", "allocs", "ms");
     let mut membership = Membership::new(vec![Trust::roster("roster"), Trust::advisor("consul")]);
-    let word = |at: usize, state, index| Word { key: name(at), state, index, host: None };
-    for source in 0..2 {
-        let words = (0..MANY).map(|at| word(at, State::Ready, 1)).collect();
+    let host = |at: usize| Host {
+        address: Some(([10, 0, 0, 1], 1_000 + at as u16).into()),
+        ..Host::named(name(at))
+    };
+    let word = |at: usize, state, index| Word { key: name(at), state, index, host: Some(host(at)) };
+    let ready = || (0..MANY).map(|at| word(at, State::Ready, 1)).collect();
+    for (now, what, source, words) in [
+        (0.0, "the first words of the roster", Some(0), ready()),
+        (1.0, "the first words of Consul", Some(1), ready()),
+        (2.0, "one word", Some(1), vec![word(7, State::Draining, 2)]),
+        (3.0, "Consul is out of touch", None, vec![]),
+        (4.0, "and in touch again", Some(1), vec![]),
+    ] {
         let list = List { authority: Authority::Fresh, history: 0, words, left: vec![] };
-        membership.handle(0.0, membership::Event::Listed { source, list }, &mut Vec::new());
+        let event = match source {
+            Some(source) => membership::Event::Listed { source, list },
+            None => membership::Event::Lost { source: 1 },
+        };
+        let (before, start, mut actions) = (ALLOCATOR.stats(), Instant::now(), Vec::new());
+        membership.handle(now, event, &mut actions);
+        let (took, after) = (start.elapsed(), ALLOCATOR.stats() - before);
+        let ms = took.as_secs_f64() * 1e3;
+        println!("{what:<44} {:>12} {:>10} {ms:>8.2}", after.bytes_allocated, after.allocations);
     }
-    let words = vec![word(7, State::Draining, 2)];
-    let list = List { authority: Authority::Fresh, history: 0, words, left: vec![] };
-    let (before, start, mut actions) = (ALLOCATOR.stats(), Instant::now(), Vec::new());
-    membership.handle(1.0, membership::Event::Listed { source: 1, list }, &mut actions);
-    let (took, after) = (start.elapsed(), ALLOCATOR.stats() - before);
-    let ms = took.as_secs_f64() * 1e3;
-    println!(
-        "{:<44} {:>12} {:>10} {ms:>8.2}",
-        "merging one word into it", after.bytes_allocated, after.allocations
-    );
 }
 
 /// A node that follows many instances while they change.
@@ -215,30 +230,57 @@
     }
 }
 
-/// What it costs a request, in turn: a node without the file, and one that follows Consul.
-fn requests() {
-    println!("\na request's path, {PAIRS} pairs of {} s, 8 clients, 4 servers", PAIR.as_secs());
+/// The figures of each of a round's nodes.
+type Round = [[f64; 4]; 3];
+/// One figure of a round, made of its nodes'.
+type Of<'a> = &'a dyn Fn(&Round, usize) -> f64;
+
+/// What it costs a request. Two processes of one program differ by some percent, for as long as they live: so each round
+/// has fresh ones, in another order, and beside the pair that is asked about one of two alike.
+pub fn requests() {
+    println!(
+        "\na request's path, {ROUNDS} rounds of fresh nodes, {} s each, 8 clients, 4 servers",
+        ROUND.as_secs_f64()
+    );
     println!("{:<44} {:>10} {:>8} {:>8} {:>10}", "", "requests/s", "p50 ms", "p99 ms", "CPU us");
-    let towns = [town(4, false), town(4, true)];
-    let mut figures = [(); 2].map(|()| [(); 4].map(|()| Vec::new()));
-    for _ in 0..PAIRS {
-        for (town, figures) in towns.iter().zip(&mut figures) {
-            let (start, before) = (Instant::now(), cpu(town.node.process()));
-            let load = Load::start(town.node.address, 8, Duration::ZERO);
-            thread::sleep(PAIR);
-            let totals = load.end();
-            let cpu = (cpu(town.node.process()) - before).as_secs_f64();
-            assert_eq!(totals.lost, 0, "no request is lost");
-            figures[0].push(totals.sent as f64 / start.elapsed().as_secs_f64());
-            figures[1].push(totals.quantile(0.5).as_secs_f64() * 1e3);
-            figures[2].push(totals.quantile(0.99).as_secs_f64() * 1e3);
-            figures[3].push(cpu * 1e6 / totals.sent as f64);
+    let kinds = [false, true, false];
+    let mut rounds = Vec::new();
+    for round in 0..ROUNDS {
+        let mut figures: Round = [[0.0; 4]; 3];
+        for at in (0..kinds.len()).map(|at| (at + round) % kinds.len()) {
+            figures[at] = path(&town(4, kinds[at]));
         }
+        rounds.push(figures);
     }
-    let [without, with] = figures.map(|mut all| all.each_mut().map(|one| quantile(one, 0.5)));
-    for (what, [rate, p50, p99, cpu]) in [("without the file", without), ("Consul is followed", with)] {
-        println!("{what:<44} {rate:>10.0} {p50:>8.2} {p99:>8.2} {cpu:>10.1}");
+    let median = |of: Of<'_>, part: f64| {
+        [0, 1, 2, 3].map(|figure| {
+            quantile(&mut rounds.iter().map(|round| of(round, figure)).collect::<Vec<_>>(), part)
+        })
+    };
+    let rows: [(&str, Of<'_>, f64); 8] = [
+        ("without the file, median", &|round, figure| round[0][figure], 0.5),
+        ("Consul is followed, median", &|round, figure| round[1][figure], 0.5),
+        ("with / without, lower quartile", &|round, figure| round[1][figure] / round[0][figure], 0.25),
+        ("with / without, median", &|round, figure| round[1][figure] / round[0][figure], 0.5),
+        ("with / without, upper quartile", &|round, figure| round[1][figure] / round[0][figure], 0.75),
+        ("without / without, lower quartile", &|round, figure| round[2][figure] / round[0][figure], 0.25),
+        ("without / without, median", &|round, figure| round[2][figure] / round[0][figure], 0.5),
+        ("without / without, upper quartile", &|round, figure| round[2][figure] / round[0][figure], 0.75),
+    ];
+    for (nth, (what, of, part)) in rows.into_iter().enumerate() {
+        let [rate, p50, p99, cpu] = median(of, part);
+        let digits = if nth < 2 { 0 } else { 3 };
+        println!("{what:<44} {rate:>10.digits$} {p50:>8.3} {p99:>8.3} {cpu:>10.3}");
     }
-    let ratio = [0, 1, 2, 3].map(|at| with[at] / without[at]);
-    println!("{:<44} {:>10.3} {:>8.3} {:>8.3} {:>10.3}", "ratio", ratio[0], ratio[1], ratio[2], ratio[3]);
+}
+
+fn path(town: &Town) -> [f64; 4] {
+    let (start, before) = (Instant::now(), cpu(town.node.process()));
+    let load = Load::start(town.node.address, 8, Duration::ZERO);
+    thread::sleep(ROUND);
+    let totals = load.end();
+    let cpu = (cpu(town.node.process()) - before).as_secs_f64();
+    assert_eq!(totals.lost, 0, "no request is lost");
+    let [p50, p99] = [0.5, 0.99].map(|part| totals.quantile(part).as_secs_f64() * 1e3);
+    [totals.sent as f64 / start.elapsed().as_secs_f64(), p50, p99, cpu * 1e6 / totals.sent as f64]
 }
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -15,7 +15,11 @@
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
-const SUBJECTS: [(&str, fn()); 2] = [("membership", following::measure), ("pool", connections::measure)];
+const SUBJECTS: [(&str, fn()); 3] = [
+    ("membership", following::measure),
+    ("membership-path", following::requests),
+    ("pool", connections::measure),
+];
 
 fn main() -> ExitCode {
     let wanted = std::env::args().nth(1).unwrap_or_default();
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -260,20 +260,21 @@
         if fresh {
             if !std::mem::replace(&mut self.fresh, true) && self.out_since > f64::NEG_INFINITY {
                 notes.push(Note::Fresh { source: self.trust.name.clone() });
+            }
+            // Fresh or held makes no difference to what a word amounts to; aged does, for every server.
+            if std::mem::take(&mut self.aged) {
                 affected.extend(self.keys());
             }
-            self.aged = false;
         } else {
-            self.hold(now, affected, notes);
+            self.hold(now, notes);
         }
     }
 
     /// The source is out of touch, or answers from a stale copy.
-    pub fn hold(&mut self, now: f64, affected: &mut Affected, notes: &mut Vec<Note>) {
+    pub fn hold(&mut self, now: f64, notes: &mut Vec<Note>) {
         if std::mem::replace(&mut self.fresh, false) || self.out_since == f64::NEG_INFINITY {
             self.out_since = now;
             notes.push(Note::Held { source: self.trust.name.clone() });
-            affected.extend(self.keys());
         }
     }
 
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -117,7 +117,7 @@
             }
             Event::Lost { source } => {
                 if let Some(held) = self.sources.get_mut(source) {
-                    held.hold(now, &mut affected, &mut notes);
+                    held.hold(now, &mut notes);
                 }
                 Some(source)
             }
--- a/crates/membership/tests/table.rs
+++ b/crates/membership/tests/table.rs
@@ -54,6 +54,18 @@
     }
 }
 
+/// What `source` rests on: a source that goes out of touch and comes back changes no verdict until it has aged.
+#[test]
+fn held_is_as_good_as_fresh() {
+    for (a, b) in WORDS.into_iter().flat_map(|a| WORDS.map(|b| (a, b))) {
+        for (names, outlived) in [(false, false), (false, true), (true, false), (true, true)] {
+            let roster = Said { state: a, age: Age::Fresh, names: true, outlived: false };
+            let at = |age| merge(&[roster, Said { state: b, age, names, outlived }]);
+            assert_eq!(at(Age::Fresh), at(Age::Held), "{a:?}, {b:?}");
+        }
+    }
+}
+
 /// With three sources, too: no word of ready makes up for a drain, and none but a naming source names.
 #[test]
 fn any_further_source_can_drain_and_none_can_undo_it() {
--- a/crates/testkit/src/consul.rs
+++ b/crates/testkit/src/consul.rs
@@ -21,6 +21,8 @@
 const MOST_WORLDS: usize = 4_096;
 /// How long a query blocks where it does not say, and at the most (as the API pages have it).
 const WAIT: [Duration; 2] = [Duration::from_secs(300), Duration::from_secs(600)];
+/// Pieces of an answer that has no end: some hundred MB. A client that takes them all is a test that fails.
+const MOST_PIECES: usize = 10_000;
 /// How often an agent that lags looks whether a later world is due.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -491,8 +493,7 @@
                 let begun = format!("HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\n[");
                 let one = format!("{},", found.first().map_or("{}", |held| held.health.as_str())).repeat(64);
                 let mut goes_on = stream.write_all(begun.as_bytes()).is_ok();
-                // It ends when the client has had enough; a client that never has is a test that fails.
-                for _ in 0..10_000 {
+                for _ in 0..MOST_PIECES {
                     goes_on = goes_on && stream.write_all(one.as_bytes()).is_ok();
                 }
                 false
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -10,6 +10,9 @@
 use crate::message::{post, read};
 use crate::node::Client;
 
+/// Times that are kept: of more the latest. Guards against a load that runs for days, as the demo's may.
+const MOST_TIMES: usize = 200_000;
+
 /// What was answered.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Totals {
@@ -19,7 +22,7 @@
     pub answers: BTreeMap<u16, u64>,
     /// Requests that were sent whole and whose connection ended with no whole answer.
     pub lost: u64,
-    /// How long each answer took.
+    /// How long each answer took, the latest 200,000 of them, in no order.
     pub times: Vec<Duration>,
 }
 
@@ -111,7 +114,12 @@
     match &answer {
         Some(answer) => {
             *totals.answers.entry(answer.status()).or_default() += 1;
-            totals.times.push(start.elapsed());
+            let (took, at) = (start.elapsed(), totals.sent as usize % MOST_TIMES);
+            if totals.times.len() < MOST_TIMES {
+                totals.times.push(took);
+            } else {
+                totals.times[at] = took;
+            }
         }
         None => totals.lost += 1,
     }
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -3,6 +3,7 @@
 //! `deploy/silverthread.toml` has every key with a comment.
 
 use std::fmt;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::path::{Path, PathBuf};
@@ -85,11 +86,12 @@
     /// It cannot be read, or something in it makes no sense.
     pub fn read(file: &Path) -> Result<Self, OperatorsError> {
         let failed = |why: String| OperatorsError { file: file.to_owned(), at: None, why };
-        let size = std::fs::metadata(file).map_err(|error| failed(error.to_string()))?.len();
-        if size > MOST_FILE {
+        let mut text = String::new();
+        let opened = std::fs::File::open(file).map_err(|error| failed(error.to_string()))?;
+        opened.take(MOST_FILE + 1).read_to_string(&mut text).map_err(|error| failed(error.to_string()))?;
+        if text.len() as u64 > MOST_FILE {
             return Err(failed(format!("it is larger than {MOST_FILE} bytes")));
         }
-        let text = std::fs::read_to_string(file).map_err(|error| failed(error.to_string()))?;
         Self::parse(file, &text)
     }
 
@@ -126,14 +128,16 @@
     }
 }
 
-/// The line of an offset, and the key that stands on it.
+/// The line of an offset, and the key or section that it belongs to: on that line, or, where a value goes over several,
+/// on the nearest before.
 fn place(text: &str, offset: usize) -> (usize, Option<String>) {
-    let before = &text[..offset.min(text.len())];
-    let start = before.rfind('\n').map_or(0, |end| end + 1);
-    let line = text[start..].lines().next().unwrap_or_default();
-    let key = line.split_once('=').map(|(key, _)| key).or_else(|| Some(line.trim().trim_matches(['[', ']'])));
-    let key = key.map(|key| key.trim().trim_matches('"').to_owned()).filter(|key| !key.is_empty());
-    (before.matches('\n').count() + 1, key.filter(|key| !key.starts_with('#')))
+    let line = text.get(..offset).unwrap_or(text).matches('\n').count();
+    let lines: Vec<_> = text.lines().take(line + 1).map(str::trim).collect();
+    let key = lines.iter().rev().filter(|line| !line.starts_with('#')).find_map(|line| {
+        let section = line.strip_prefix('[').map(|rest| rest.trim_start_matches('[').split(']').next());
+        section.flatten().or_else(|| line.split_once('=').map(|(key, _)| key))
+    });
+    (line + 1, key.map(|key| key.trim().trim_matches('"').to_owned()).filter(|key| !key.is_empty()))
 }
 
 /// What makes no sense, and where.
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -59,6 +59,7 @@
         (more("[consul.damping]\nfirst_s = 1\nmost_s = -1\nhalf_life_s = 1"), 7, "most_s"),
         (CONSUL.replace("127.0.0.1:8500", "localhost:8500"), 4, "agents"),
         (CONSUL.replace("[\"127.0.0.1:8500\"]", "[]"), 4, "agents"),
+        (CONSUL.replace("[\"", "[\n  # near\n  \"127.0.0.1:1\",\n  \"é:"), 7, "agents"),
         (CONSUL.replace("\"holds\"", "\"\""), 3, "service"),
         (CONSUL.replace("\"c\"", "\"roster\""), 2, "name"),
         (format!("{CONSUL}{CONSUL}"), 6, "name"),
@@ -82,6 +83,8 @@
         assert_eq!(output.status.code(), Some(2), "{arguments:?}");
         assert!(!output.stderr.is_empty() && output.stdout.is_empty());
     }
+    let endless = program().args(["check", "/dev/zero"]).output().expect("it starts");
+    assert_eq!(endless.status.code(), Some(2), "a file without an end");
     let file = write_config("[[consul]]\n");
     let output = program().env("SILVERTHREAD_CONFIG", &file).output().expect("it starts");
     std::fs::remove_file(file).expect("the test's own");
