--- a/crates/consul/src/mapping.rs
+++ b/crates/consul/src/mapping.rs
@@ -88,6 +88,8 @@
     pub named: Named,
     /// A tagged address that is the server's; otherwise the service's own, or else its node's.
     pub tagged_address: Option<String>,
+    /// Tagged addresses at which the server is reached, too.
+    pub also_tagged: Vec<String>,
     /// What its checks' gravest status makes it: passing, warning, critical, maintenance.
     pub states: [State; 4],
     /// What tags make it.
@@ -111,6 +113,7 @@
         Self {
             named: Named::Id(Place::ServiceId),
             tagged_address: None,
+            also_tagged: Vec::new(),
             states: [State::Ready, State::Ready, State::Gone, State::Draining],
             tags: Vec::new(),
             meta: Vec::new(),
@@ -128,6 +131,8 @@
 pub struct Facts {
     /// Its address; `None`: it is a name, or there is none.
     pub address: Option<SocketAddr>,
+    /// Its further addresses.
+    pub others: Vec<SocketAddr>,
     /// Its zone.
     pub zone: Option<String>,
     /// Its machine kind.
@@ -171,6 +176,7 @@
         let by_checks = if status == Status::Passing { instance.weights.0 } else { instance.weights.1 };
         let facts = Facts {
             address: self.address(instance),
+            others: self.others(instance),
             zone: value(self.zone.as_ref(), instance),
             kind: value(self.kind.as_ref(), instance),
             cell: value(self.cell.as_ref(), instance),
@@ -200,9 +206,18 @@
             None if instance.address.is_empty() => (&instance.node_address, instance.port),
             None => (&instance.address, instance.port),
         };
-        let address: IpAddr = address.parse().ok()?;
-        (port > 0).then_some(SocketAddr::new(address, port))
+        socket(address, port)
     }
+
+    fn others(&self, instance: &Instance) -> Vec<SocketAddr> {
+        let tagged = self.also_tagged.iter().filter_map(|tag| instance.tagged.get(tag));
+        tagged.filter_map(|(address, port)| socket(address, *port)).collect()
+    }
+}
+
+fn socket(address: &str, port: u16) -> Option<SocketAddr> {
+    let address: IpAddr = address.parse().ok()?;
+    (port > 0).then_some(SocketAddr::new(address, port))
 }
 
 fn value<T: FromStr>(place: Option<&Place>, instance: &Instance) -> Option<T> {
--- a/crates/consul/tests/instances.rs
+++ b/crates/consul/tests/instances.rs
@@ -76,6 +76,10 @@
         let mapping = Mapping { tagged_address: Some(tag.into()), named: Named::Address, ..mapping() };
         assert_eq!(read(&health("passing"), &mapping).key, address);
     }
+    let also_tagged = vec!["lan_ipv6".into(), "wan_ipv6".into(), "lan".into()];
+    let others = read(&health("passing"), &Mapping { also_tagged, ..mapping() }).facts.others;
+    let others: Vec<_> = others.iter().map(ToString::to_string).collect();
+    assert_eq!(others, ["[2001:db8::7]:8001", "10.1.10.14:8000"], "those that it has");
 }
 
 /// Each status of a check against what the file makes of it.
--- a/crates/membership/src/host.rs
+++ b/crates/membership/src/host.rs
@@ -20,6 +20,8 @@
     pub id: String,
     /// Where this node reaches it.
     pub address: Option<SocketAddr>,
+    /// Where else this node reaches it.
+    pub others: Vec<SocketAddr>,
     /// Whether it takes requests.
     pub state: State,
     /// Its zone's name; empty where nobody says.
@@ -41,6 +43,7 @@
         Self {
             id: id.into(),
             address: None,
+            others: Vec::new(),
             state: State::Ready,
             zone: String::new(),
             kind: String::new(),
@@ -53,6 +56,9 @@
     /// Takes from another account of the server what this one does not say.
     pub(crate) fn fill_from(&mut self, other: &Self) {
         self.address = self.address.or(other.address);
+        if self.others.is_empty() {
+            self.others.clone_from(&other.others);
+        }
         self.cell = self.cell.or(other.cell);
         if self.zone.is_empty() {
             self.zone.clone_from(&other.zone);
--- a/crates/pool/src/address.rs
+++ b/crates/pool/src/address.rs
@@ -8,6 +8,9 @@
 /// The longest path of a Unix socket: `sun_path` has 108 bytes with its end (unix(7)).
 pub const MOST_UNIX_PATH: usize = 107;
 
+/// The preference of a route of which nobody says any.
+pub const ORDINARY_PREFERENCE: u16 = 100;
+
 /// Where a server is reached.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Address {
@@ -150,7 +153,7 @@
     /// A route of which nothing is said.
     #[must_use]
     pub fn new(address: Address) -> Self {
-        Self { address, preference: 100, label: None }
+        Self { address, preference: ORDINARY_PREFERENCE, label: None }
     }
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -30,13 +30,17 @@
 //! ```
 
 mod address;
+mod holders;
 mod memory;
 mod odd;
 mod pool;
+mod verdict;
 
-pub use address::{order, Address, BadAddress, Family, Route, MOST_UNIX_PATH};
+pub use address::{order, Address, BadAddress, Family, Route, MOST_UNIX_PATH, ORDINARY_PREFERENCE};
+pub use holders::{Changed, Holders};
 pub use memory::{IdleMemory, Memory};
 pub use odd::Oddness;
 pub use pool::{
     Action, Closed, ConnId, DialId, Limits, Pool, RouteId, ServerKey, Taken, Ticket, Why, MOST_ADDRESSES,
 };
+pub use verdict::{judge, Age, Broke, Next, Sent};
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -182,6 +182,10 @@
 #[derive(Clone, Debug)]
 struct Waiting {
     ticket: Ticket,
+    /// Until when, at the longest.
+    ends_at: f64,
+    /// Whether a race is run for it.
+    races: bool,
     avoid: Vec<RouteId>,
 }
 
@@ -387,7 +391,8 @@
         let ticket = Ticket(self.next);
         self.tickets.insert(ticket, server);
         if let Some(held) = self.servers.get_mut(&server) {
-            held.waiting.push_back(Waiting { ticket, avoid: avoid.to_vec() });
+            let ends_at = now + self.limits.dial_timeout_ms;
+            held.waiting.push_back(Waiting { ticket, ends_at, races: false, avoid: avoid.to_vec() });
             held.note_wait(now);
         }
         self.serve(now, server, actions);
@@ -426,10 +431,14 @@
         for (_, slow, _) in race.out.iter().filter(|(_, _, since)| now - since >= STAGGER_MS) {
             held.remember(*slow, |memory| memory.failed(now));
         }
+        let ticket = race.ticket;
         self.abort(race, actions);
         self.next += 1;
         let conn = ConnId(self.next);
         let held = self.servers.get_mut(&server).expect("it was there");
+        if let Some(waiting) = held.waiting.iter_mut().find(|w| Some(w.ticket) == ticket) {
+            waiting.races = false; // Whoever takes the connection leaves it a race, if that has one.
+        }
         let taker = held.waiting.iter().position(|waiting| !waiting.avoid.contains(&route));
         match taker.and_then(|taker| held.waiting.remove(taker)) {
             Some(Waiting { ticket, .. }) => {
@@ -512,6 +521,30 @@
         self.closed(now, conn, how, actions);
     }
 
+    /// Idle connections have ended: many at once, when a server is restarted.
+    pub fn ended(&mut self, now: f64, ended: &HashMap<ConnId, Closed>, actions: &mut Vec<Action>) {
+        for held in self.servers.values_mut() {
+            let (routes, odd, open) = (&mut held.routes, &mut held.odd, &mut self.open);
+            held.idle.retain(|idle| {
+                let Some(how) = ended.get(&idle.conn) else { return true };
+                *open -= 1;
+                match how {
+                    Closed::Odd => odd.note(now),
+                    Closed::ByPeer => {
+                        if let Some(known) = routes.iter_mut().find(|known| known.id == idle.route) {
+                            known.idle.closed(now, now - idle.since);
+                        }
+                    }
+                    Closed::Broken | Closed::Spent => {}
+                }
+                false
+            });
+        }
+        for server in self.active.clone() {
+            self.serve(now, server, actions);
+        }
+    }
+
     /// The time that was asked for has come.
     pub fn due(&mut self, now: f64, actions: &mut Vec<Action>) {
         self.waking = f64::INFINITY;
@@ -574,10 +607,11 @@
     fn release(&mut self, server: ServerKey, ticket: Ticket, actions: &mut Vec<Action>) {
         let Some(held) = self.servers.get_mut(&server) else { return };
         let Some(at) = held.races.iter().position(|race| race.ticket == Some(ticket)) else { return };
-        let races = &held.races;
-        let heir = held.waiting.iter().find(|w| races.iter().all(|race| race.ticket != Some(w.ticket)));
-        match heir.map(|heir| heir.ticket) {
-            Some(heir) => held.races[at].ticket = Some(heir),
+        match held.waiting.iter_mut().find(|waiting| !waiting.races && waiting.ticket != ticket) {
+            Some(heir) => {
+                heir.races = true;
+                held.races[at].ticket = Some(heir.ticket);
+            }
             None => {
                 let race = held.races.remove(at);
                 self.abort(race, actions);
@@ -589,6 +623,7 @@
     fn serve(&mut self, now: f64, server: ServerKey, actions: &mut Vec<Action>) {
         self.grant(now, server, actions);
         self.run_races(now, server, actions);
+        self.end_waits(now, server, actions);
         self.start_races(now, server, actions);
         let held = self.servers.get(&server);
         if held.is_some_and(|held| !held.races.is_empty() || !held.waiting.is_empty()) {
@@ -647,6 +682,20 @@
         }
     }
 
+    /// Who has waited for as long as a race may take, and has none yet, waits no longer: elsewhere there may be room.
+    fn end_waits(&mut self, now: f64, server: ServerKey, actions: &mut Vec<Action>) {
+        let Some(held) = self.servers.get_mut(&server) else { return };
+        let tickets = &mut self.tickets;
+        held.waiting.retain(|waiting| {
+            let stays = now < waiting.ends_at || waiting.races;
+            if !stays {
+                tickets.remove(&waiting.ticket);
+                actions.push(Action::Fail { ticket: waiting.ticket, why: Why::Full });
+            }
+            stays
+        });
+    }
+
     fn dial_next(&mut self, now: f64, server: ServerKey, at: usize, actions: &mut Vec<Action>) {
         let is_full = self.open >= self.limits.most_open;
         let Some(held) = self.servers.get_mut(&server) else { return };
@@ -682,11 +731,11 @@
             if held.races.len() >= limits.most_dials || !held.may_dial(now, limits.cold_dials_per_s) {
                 return;
             }
-            let (races, idle) = (&held.races, &held.idle);
+            let idle = &held.idle;
             let rests = |avoid: &[RouteId]| idle.iter().filter(|idle| !avoid.contains(&idle.route)).count();
-            let needy = held.waiting.iter().enumerate().find(|(nth, waiting)| {
-                races.iter().all(|race| race.ticket != Some(waiting.ticket)) && *nth >= rests(&waiting.avoid)
-            });
+            let needy = held.waiting.iter().enumerate();
+            let needy = needy.filter(|(_, waiting)| !waiting.races);
+            let needy = { needy }.find(|(nth, waiting)| *nth >= rests(&waiting.avoid));
             let ahead =
                 limits.ahead && needy.is_none() && !held.routes.is_empty() && held.wants_one_ahead(now);
             let (ticket, avoid) = match needy {
@@ -707,6 +756,9 @@
             }
             if let Some(held) = self.servers.get_mut(&server) {
                 held.allowance.0 -= 1.0;
+                if let Some(waiting) = held.waiting.iter_mut().find(|w| Some(w.ticket) == ticket) {
+                    waiting.races = true;
+                }
                 held.races.push(Race { ticket, plan, out: Vec::new(), next_at: now, ends_at });
             }
             self.run_races(now, server, actions);
@@ -845,6 +897,9 @@
         let allowed = now
             + (1.0 - self.allowance.0).max(LEAST_ALLOWANCE) * 1e3 / cold_per_s.max(LEAST_COLD_DIALS_PER_S);
         let rested = if self.waiting.is_empty() { f64::INFINITY } else { rested };
+        // They wait in the order in which their time ends.
+        let ends = self.waiting.iter().map(|waiting| waiting.ends_at).find(|ends_at| *ends_at > now);
+        let rested = rested.min(ends.unwrap_or(f64::INFINITY));
         races.fold(rested, f64::min).min(if is_held_back { allowed } else { f64::INFINITY })
     }
 }
--- a/crates/pool/tests/races.rs
+++ b/crates/pool/tests/races.rs
@@ -367,7 +367,7 @@
 
 #[test]
 fn a_cold_server_is_dialled_no_faster_than_it_may_be() {
-    let limits = Limits { cold_dials_per_s: 10.0, ..Limits::default() };
+    let limits = Limits { cold_dials_per_s: 10.0, dial_timeout_ms: 10_000.0, ..Limits::default() };
     let mut play = Play::with(&[V4], limits);
     play.pool.set_cold(SERVER, play.now + 60_000.0);
     for _ in 0..40 {
@@ -385,6 +385,39 @@
     assert!((26..=30).contains(&dialled), "{dialled} in two seconds");
 }
 
+/// Guards against attempts that wait at a server until their requests' time is out, where another has room.
+#[test]
+fn who_finds_no_dial_free_waits_no_longer_than_a_dial_may_take() {
+    let limits = Limits { most_dials: 1, ..Limits::default() };
+    let mut play = Play::with(&[V4], limits);
+    let (first, second) = (play.ticket(), play.ticket());
+    play.pass(999.0);
+    assert!(play.failed.is_empty(), "{:?}", play.failed);
+    play.pass(2.0);
+    assert_eq!(play.failed, [(first, Why::Unreachable), (second, Why::Full)]);
+}
+
+/// Guards against a scan of all servers for each of them.
+#[test]
+fn three_thousand_idle_connections_end_at_once() {
+    let limits = Limits { most_open: 4_000, most_per_server: 4_000, most_dials: 4_000, ..Limits::default() };
+    let mut play = Play::with(&[V4], limits);
+    let conns: Vec<_> = (0..3_000).map(|_| play.conn(V4)).collect();
+    for conn in &conns {
+        play.pool.give_back(play.now, *conn, &mut play.actions);
+    }
+    assert_eq!(play.pool.idle(SERVER), 3_000);
+    play.now += 30_000.0;
+    let ended = conns.iter().map(|conn| (*conn, Closed::ByPeer)).collect();
+    play.pool.ended(play.now, &ended, &mut play.actions);
+    assert_eq!((play.pool.idle(SERVER), play.pool.open()), (0, 0));
+    assert_eq!(play.pool.routes(play.now, SERVER)[0].1, 0, "the address is as good as before");
+    let conn = play.conn(V4);
+    play.pool.give_back(play.now, conn, &mut play.actions);
+    play.now += 40_000.0;
+    assert_eq!(play.take(), Taken::Now(conn), "and a restart has taught nothing of its idle time");
+}
+
 #[test]
 fn an_odd_server_is_waited_for_and_the_others_are_not() {
     let (mut play, conn) = Play::odd();
--- /dev/null
+++ b/src/net/back.rs
@@ -0,0 +1,110 @@
+//! The seam to the servers: what goes out, what comes back, and whether it may have run, whatever protocol carries it.
+//!
+//! A protocol is a file of its own with a `Conn` that dials, looks whether it is fit for use, and makes one exchange at
+//! a time; [`Conn`] is whichever it is. Dropping an exchange midway, and with it the connection, closes it.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, StatusCode, Uri};
+use pool::{Address, Broke, Closed, Sent};
+
+use super::answers::Room;
+use super::http1;
+use super::stream::Stream;
+use crate::{Ending, Report};
+
+/// What goes to a server, the same with each attempt but for the deadline.
+#[derive(Debug)]
+pub struct Message {
+    /// As the client sent it.
+    pub method: Method,
+    /// Path and query, as the client sent them.
+    pub uri: Uri,
+    /// The client's headers without those of its connection.
+    pub headers: HeaderMap,
+    /// As the client sent it.
+    pub body: Bytes,
+}
+
+/// A server's answer for the client.
+#[derive(Debug)]
+pub struct Served {
+    /// 200, or what the server objects to in the request.
+    pub status: StatusCode,
+    /// The body, unchanged.
+    pub body: Bytes,
+    /// Its type, where the server named one.
+    pub content_type: Option<HeaderValue>,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// The outcome.
+    pub ending: Ending,
+    /// The server's load report, if one came.
+    pub report: Option<Report>,
+    /// The answer of one that was served or rejected.
+    pub served: Option<Served>,
+}
+
+impl From<Ending> for Ended {
+    fn from(ending: Ending) -> Self {
+        Self { ending, report: None, served: None }
+    }
+}
+
+/// An exchange of which no answer's head was had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// How much of the request was out.
+    pub sent: Sent,
+    /// What broke.
+    pub broke: Broke,
+    /// Whether bytes came that nobody had asked for, or that are no answer.
+    pub is_odd: bool,
+}
+
+/// A connection to a server. Whoever has it is the only one that moves it, so that dropping it closes the socket at
+/// once.
+pub enum Conn {
+    /// HTTP/1.1 (RFC 9112).
+    Http1(http1::Conn),
+}
+
+impl Conn {
+    /// Connects to a server. Dropping it midway gives it up.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be reached there.
+    pub async fn dial(address: &Address) -> io::Result<Self> {
+        http1::Conn::begin(Stream::connect(address).await?).await.map(Self::Http1)
+    }
+
+    /// Looks whether it stands idle and fit for use as far as the event loop has heard. `None`: it does.
+    pub fn look(&mut self) -> Option<Closed> {
+        match self {
+            Self::Http1(conn) => conn.look(),
+        }
+    }
+
+    /// Makes an exchange; `left` is the request's time.
+    ///
+    /// # Errors
+    ///
+    /// No answer's head was had.
+    pub async fn exchange(
+        &mut self,
+        message: &Message,
+        left: Duration,
+        large: &Room,
+    ) -> Result<Ended, Broken> {
+        match self {
+            Self::Http1(conn) => conn.exchange(message, left, large).await,
+        }
+    }
+}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -21,11 +21,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::answers::MOST_BODY;
+use super::back::Message;
 use super::driver::{Answer, Driver};
 use super::framing::Framing;
 use super::log;
 use super::places::{Guest, Place, Places, Stage};
-use super::servers::{Message, MOST_BODY};
 use crate::Effect;
 
 /// The most of a message's head that is read, and of a body that is read at a time.
--- a/src/net/consul.rs
+++ b/src/net/consul.rs
@@ -99,6 +99,7 @@
     let host = Host {
         id: said.key.clone(),
         address: facts.address,
+        others: facts.others.clone(),
         state: state(said.state),
         zone: facts.zone.clone().unwrap_or_default(),
         kind: facts.kind.clone().unwrap_or_default(),
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -10,10 +10,12 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 
+use super::addresses::AllSaid;
+use super::back::{Ended, Message, Served};
 use super::config::{Config, ConfigError, Names};
 use super::log;
 use super::roster;
-use super::servers::{Ended, Message, Served, Servers, Slot};
+use super::servers::{Servers, Underway};
 use crate::wire::WireError;
 use crate::{
     Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request, RequestId,
@@ -69,7 +71,7 @@
 struct Out {
     number: usize,
     sent: Instant,
-    slot: Rc<Slot>,
+    underway: Rc<Underway>,
     task: AbortHandle,
 }
 
@@ -107,7 +109,7 @@
     clock: Clock,
     /// The names of the settings.
     pub names: SettingNames,
-    servers: Servers,
+    servers: Rc<Servers>,
     /// The servers that discovery names now, by their ids. One that is gone is forgotten, and gets another number
     /// if it comes back: what is still under way to the first cannot be taken for the second's.
     numbers: RefCell<HashMap<String, ServerId>>,
@@ -191,6 +193,7 @@
         driver.listing(&roster::read_all(&config.known), Listing::Cached);
         tokio::task::spawn_local(Rc::clone(&driver).wake_up());
         tokio::task::spawn_local(Rc::clone(&driver).sweep());
+        tokio::task::spawn_local(Rc::clone(&driver.servers).wake_up());
         Ok(driver)
     }
 
@@ -204,6 +207,12 @@
         self.listing(hosts, Listing::Changes);
     }
 
+    /// Takes what the operators say now of servers' addresses.
+    pub fn say_addresses(self: &Rc<Self>, said: AllSaid) {
+        let hosts = self.servers.say(said);
+        self.changes(&hosts);
+    }
+
     /// The time by the driver's clock, in milliseconds of Unix time; it never runs backwards.
     #[must_use]
     pub fn now_ms(&self) -> f64 {
@@ -235,7 +244,7 @@
         });
     }
 
-    /// What the balancer is told of a host: that it is there, or that it is gone, or that another is gone for it.
+    /// What the balancer is told of a host: that it is there, or that it is gone, or that others are gone for it.
     fn entries(&self, host: &Host) -> Vec<ServerEntry> {
         let mut numbers = self.numbers.borrow_mut();
         if host.state == State::Gone {
@@ -248,10 +257,8 @@
             ServerId(next)
         });
         let replaced = self.servers.update(number, host);
-        if let Some(replaced) = replaced {
-            numbers.retain(|_, at| *at != replaced);
-        }
-        let there = (replaced != Some(number)).then(|| ServerEntry {
+        numbers.retain(|_, at| !replaced.contains(at));
+        let there = (!replaced.contains(&number)).then(|| ServerEntry {
             server: number,
             place: crate::wire::spread(&host.id),
             availability: availability(host.state),
@@ -260,7 +267,7 @@
             zone: self.names.zones.get(&host.zone).unwrap_or(0),
             kind: self.names.kinds.get(&host.kind).unwrap_or(0),
         });
-        replaced.map(|replaced| self.entry_of_gone(replaced)).into_iter().chain(there).collect()
+        replaced.into_iter().map(|replaced| self.entry_of_gone(replaced)).chain(there).collect()
     }
 
     fn entry_of_gone(&self, number: ServerId) -> ServerEntry {
@@ -340,14 +347,15 @@
             drop(open);
             return self.outcome(number, attempt, Duration::ZERO, Ending::NotSent.into());
         }
-        let (slot, message, deadline) =
-            (Rc::new(Slot::default()), Rc::clone(&request.message), request.deadline);
-        let (driver, held) = (Rc::clone(self), Rc::clone(&slot));
+        let message = Rc::clone(&request.message);
+        let attempting = Rc::clone(&self.servers).attempt(server, message, request.deadline);
+        let underway = Rc::new(Underway::new(attempting));
+        let (driver, held) = (Rc::clone(self), Rc::clone(&underway));
         let task = tokio::task::spawn_local(async move {
-            let ended = driver.servers.attempt(server, &message, deadline, &held).await;
+            let ended = held.ended().await;
             driver.ended(number, attempt, ended);
         });
-        request.out = Some(Out { number: attempt, sent: now, slot, task: task.abort_handle() });
+        request.out = Some(Out { number: attempt, sent: now, underway, task: task.abort_handle() });
     }
 
     /// An attempt came to its own end.
@@ -385,7 +393,7 @@
         let out = &mut open.get_mut(&number)?.out;
         let out = out.take_if(|out| attempt.is_none_or(|attempt| out.number == attempt))?;
         out.task.abort();
-        out.slot.close();
+        out.underway.close();
         Some(out)
     }
 
--- /dev/null
+++ b/src/net/http1/metered.rs
@@ -0,0 +1,263 @@
+//! A connection's socket that notes what passes: whether a request may have run depends on it, and whether what comes
+//! can be its answer.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use pool::{Broke, Sent};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
+
+use super::super::answers::MOST_BODY;
+use super::super::stream::{News, Stream};
+
+/// The most that comes ahead of and with an answer: its head, its body and its chunks' own lines, and some 1xx.
+const MOST_ANSWER: usize = 4 * MOST_BODY;
+/// An answer is sent as one: how long one that has begun may stand still in its head, and take for its body. That is
+/// many trips between data centres, and short enough to leave time for another attempt.
+pub const ANSWER_STALL: Duration = Duration::from_millis(250);
+/// How long a server may take nothing of a request that is on its way: two lost packets are sent again in it. What has
+/// not gone out to its last byte has not run, and may go another way.
+const SEND_STALL: Duration = Duration::from_millis(600);
+
+/// What has passed on a connection since its present request began.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    written: Cell<u64>,
+    /// Whether the request is out to its last byte.
+    whole: Cell<bool>,
+    read: Cell<usize>,
+    /// The last bytes that came.
+    tail: Cell<[u8; 4]>,
+    /// Something came or went.
+    moved: Notify,
+    /// What a large answer may bring beyond `MOST_ANSWER`.
+    large: Cell<usize>,
+    /// Whether more came than any answer has.
+    flooded: Cell<bool>,
+    /// Whether bytes came that nobody had asked for.
+    unasked: Cell<bool>,
+}
+
+impl Traffic {
+    /// The next request begins.
+    pub fn begin(&self) {
+        self.written.set(0);
+        self.whole.set(false);
+        self.read.set(0);
+        self.large.set(0);
+        self.tail.set([0; 4]);
+    }
+
+    /// How much of the request is out.
+    pub fn sent(&self) -> Sent {
+        match self.written.get() {
+            _ if self.whole.get() => Sent::Whole,
+            0 => Sent::Nothing,
+            _ => Sent::Part,
+        }
+    }
+
+    /// What an answer that is large may bring beyond the ordinary.
+    pub fn allow(&self, large: usize) {
+        self.large.set(large);
+    }
+
+    /// Whether more came than any answer has.
+    pub fn is_flooded(&self) -> bool {
+        self.flooded.get()
+    }
+
+    /// Whether bytes came that nobody had asked for.
+    pub fn is_odd(&self) -> bool {
+        self.unasked.get()
+    }
+
+    /// Bytes came that nobody had asked for.
+    pub fn note_odd(&self) {
+        self.unasked.set(true);
+    }
+
+    fn note_read(&self, bytes: &[u8]) {
+        self.read.set(self.read.get() + bytes.len());
+        let mut tail = self.tail.get();
+        for byte in &bytes[bytes.len().saturating_sub(tail.len())..] {
+            tail.rotate_left(1);
+            tail[3] = *byte;
+        }
+        self.tail.set(tail);
+        self.moved.notify_one();
+    }
+
+    fn note_written(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes as u64);
+        self.moved.notify_one();
+    }
+
+    /// Whether a head has begun and not ended. A whole one that the answer has not come with was a 1xx: after it the
+    /// server may well think for a while.
+    fn is_in_head(&self) -> bool {
+        self.read.get() > 0 && self.tail.get() != *b"\r\n\r\n"
+    }
+
+    /// Waits until the request or the answer's head stops short. Guards against a server that takes no more, and against
+    /// answers that cannot be read and do not end: they would be waited for until the request's time is over, with none
+    /// left for another attempt.
+    pub async fn stalls(&self) -> Broke {
+        loop {
+            let (limit, broke) = match self.sent() {
+                Sent::Whole if self.is_in_head() => (ANSWER_STALL, Broke::Answer),
+                Sent::Whole => {
+                    self.moved.notified().await;
+                    continue;
+                }
+                _ => (SEND_STALL, Broke::Stalled),
+            };
+            if tokio::time::timeout(limit, self.moved.notified()).await.is_err() {
+                return broke;
+            }
+        }
+    }
+}
+
+/// The socket.
+pub struct Metered {
+    stream: Stream,
+    traffic: Rc<Traffic>,
+}
+
+impl Metered {
+    /// Notes what passes in `traffic`.
+    pub fn new(stream: Stream, traffic: Rc<Traffic>) -> Self {
+        Self { stream, traffic }
+    }
+
+    fn note(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = &result {
+            self.traffic.note_written(*n);
+        }
+        result
+    }
+
+    /// Guards against what came since the connection was picked, which the event loop may not have heard of: bytes that
+    /// nobody asked for belong to the answer before, and would be taken for the next one. Nothing is written then, and
+    /// nothing has run.
+    fn refuses_to_begin(&self) -> Option<io::Error> {
+        if self.traffic.written.get() > 0 {
+            return None;
+        }
+        match self.stream.news() {
+            News::None => return None,
+            News::Bytes => self.traffic.note_odd(),
+            News::End => {}
+        }
+        Some(io::Error::other("something came ahead of the request"))
+    }
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = &buf.filled()[before..];
+        if !read.is_empty() {
+            self.traffic.note_read(read);
+            if self.traffic.read.get() > MOST_ANSWER + self.traffic.large.get() {
+                self.traffic.flooded.set(true);
+                return Poll::Ready(Err(io::Error::other("more came than any answer has")));
+            }
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if let Some(error) = self.refuses_to_begin() {
+            return Poll::Ready(Err(error));
+        }
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        if let Some(error) = self.refuses_to_begin() {
+            return Poll::Ready(Err(error));
+        }
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// hyper flushes a socket once it has written all that it holds, and it holds the whole request before it
+    /// writes any of it (a request's body is one piece here). So a flush after a write is the last byte.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.traffic.written.get() > 0 {
+            self.traffic.whole.set(true);
+        }
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::task::Waker;
+
+    use pool::Address;
+
+    /// Guards against bytes that come as the next request goes out, before the event loop has heard of them: they
+    /// would be taken for its answer. Nothing is written then, so that nothing has run.
+    #[tokio::test]
+    async fn a_request_is_not_begun_behind_bytes_that_came_unasked() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = Address::Ip(listener.local_addr().expect("an address"));
+        let stream = Stream::connect(&address).await.expect("it listens");
+        let (mut server, _) = listener.accept().expect("a connection");
+        let mut metered = Metered::new(stream, Rc::default());
+        metered.traffic.begin();
+        server.write_all(b"HTTP/1.1 200 OK\r\n").expect("an open connection");
+        // The event loop, which runs on this thread, hears of nothing.
+        testkit::until("the system has heard", || metered.stream.news() == News::Bytes);
+        let mut cx = Context::from_waker(Waker::noop());
+        let written = Pin::new(&mut metered).poll_write(&mut cx, b"GET / HTTP/1.1\r\n");
+        assert!(matches!(written, Poll::Ready(Err(_))), "{written:?}");
+        let _ = Pin::new(&mut metered).poll_flush(&mut cx);
+        assert_eq!(metered.traffic.sent(), Sent::Nothing, "it never ran");
+        assert!(metered.traffic.is_odd());
+    }
+
+    /// Guards against a server that takes no more of a request: nothing of it can have run.
+    #[tokio::test(start_paused = true)]
+    async fn a_request_that_does_not_go_on_is_given_up() {
+        let traffic = Traffic::default();
+        traffic.begin();
+        traffic.note_written(10);
+        assert_eq!(traffic.stalls().await, Broke::Stalled);
+        traffic.whole.set(true);
+        let waits = tokio::time::timeout(Duration::from_secs(60), traffic.stalls());
+        assert!(waits.await.is_err(), "it may think for as long as the request's time goes");
+        traffic.note_read(b"HTTP/1.1 200");
+        assert_eq!(traffic.stalls().await, Broke::Answer);
+    }
+}
--- /dev/null
+++ b/src/net/http1/mod.rs
@@ -0,0 +1,6 @@
+//! HTTP/1.1 to servers: the first protocol of the seam [`back`](super::back).
+
+mod exchange;
+mod metered;
+
+pub use exchange::Conn;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,9 @@
 //! What the operators' file ([`operators`]) turns on stands beside that: with it the list goes through [`members`],
 //! which merges it with other sources such as [`consul`]. Without it none of that runs.
 
+mod addresses;
+mod answers;
+mod back;
 pub mod clients;
 pub mod config;
 mod connection;
@@ -15,6 +18,7 @@
 pub mod discovery;
 pub mod driver;
 mod framing;
+mod http1;
 mod log;
 pub mod members;
 pub mod operators;
@@ -23,6 +27,7 @@
 mod roster;
 pub mod servers;
 mod sources;
+mod stream;
 
 use std::io;
 use std::path::PathBuf;
@@ -120,6 +125,7 @@
     let listener = TcpListener::bind(config.listen).await.map_err(system("listen for clients"))?;
     let address = listener.local_addr().map_err(system("listen for clients"))?;
     let driver = Driver::start(&config)?;
+    driver.say_addresses(extras.operators.addresses.clone());
     log::line(format_args!("serves on {address}"));
     let known = Some(config.known.generation).filter(|_| !config.known.instances.is_empty());
     let (moves, addresses) = watch::channel(config.discovery);
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -2,6 +2,7 @@
 //!
 //! `deploy/silverthread.toml` has every key with a comment.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::io::Read;
 use std::net::SocketAddr;
@@ -11,24 +12,30 @@
 
 use consul::{Api, Consistency, Mapping, Named, Place, Query, State, WatchSettings};
 use membership::{Damping, MatchBy, Trust};
+use pool::{Address, Route, MOST_ADDRESSES, ORDINARY_PREFERENCE};
 use serde::{Deserialize, Deserializer};
 use toml::Spanned;
 
+use super::addresses::{AllSaid, Said};
 use super::consul::ConsulSource;
 
-/// The largest file: ten times what every key with a comment takes.
-const MOST_FILE: u64 = 256 * 1024;
+/// The largest file: the addresses of as many servers as it may name.
+const MOST_FILE: u64 = 4 * 1024 * 1024;
 /// The most agents of a source, and sources: each takes a connection and a place in every look at a server.
 const MOST_AGENTS: usize = 16;
 const MOST_SOURCES: usize = 16;
 /// The longest name of a source: it stands in many lines of the log.
 const MOST_NAME: usize = 64;
+/// The most servers of which the file names addresses: the largest service that is measured has 5,000.
+const MOST_SERVERS: usize = 16_384;
 
 /// What the operators' file turns on. The default is what holds without one: nothing.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operators {
     /// The view that is merged from several sources, where there is a file.
     pub membership: Option<Merged>,
+    /// Addresses of servers.
+    pub addresses: AllSaid,
 }
 
 /// The sources of the merged view.
@@ -124,7 +131,11 @@
                 source.agents.len()
             )
         };
-        merged.consul.iter().map(source).collect()
+        let consul = merged.consul.iter().map(source);
+        let several = self.addresses.values().map(|said| said.routes.len());
+        let several = Some(several.sum::<usize>()).filter(|addresses| *addresses > 0);
+        let several = several.map(|sum| format!("{sum} addresses of {} servers", self.addresses.len()));
+        consul.chain(several).collect()
     }
 }
 
@@ -157,6 +168,40 @@
     membership: RawMembership,
     #[serde(default)]
     consul: Vec<RawConsul>,
+    #[serde(default)]
+    server: Vec<RawServer>,
+}
+
+/// A server's addresses.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawServer {
+    id: Spanned<String>,
+    #[serde(default)]
+    only: bool,
+    addresses: Spanned<Vec<Spanned<RawRoute>>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawRoute {
+    address: AddressText,
+    #[serde(default = "ordinary_preference")]
+    preference: u16,
+    label: Option<String>,
+}
+
+fn ordinary_preference() -> u16 {
+    ORDINARY_PREFERENCE
+}
+
+struct AddressText(Address);
+
+impl<'de> Deserialize<'de> for AddressText {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        Address::from_str(&text).map(Self).map_err(serde::de::Error::custom)
+    }
 }
 
 /// How far the roster is believed against other sources.
@@ -193,6 +238,8 @@
     names_servers: Option<Spanned<bool>>,
     id: Option<RawNamed>,
     tagged_address: Option<String>,
+    #[serde(default)]
+    also_tagged: Vec<String>,
     zone: Option<PlaceText>,
     kind: Option<PlaceText>,
     cell: Option<PlaceText>,
@@ -342,8 +389,36 @@
             }
             consul.push(raw.check()?);
         }
-        Ok(Operators { membership: Some(Merged { roster, consul }) })
+        let addresses = addresses(self.server)?;
+        Ok(Operators { membership: Some(Merged { roster, consul }), addresses })
+    }
+}
+
+fn addresses(servers: Vec<RawServer>) -> Result<AllSaid, Wrong> {
+    let mut said = AllSaid::new();
+    let mut taken: HashMap<Address, String> = HashMap::new();
+    for RawServer { id, only, addresses } in servers {
+        if said.contains_key(id.get_ref()) {
+            return Err(wrong(&id, "there is a server of this id already"));
+        }
+        if said.len() >= MOST_SERVERS {
+            return Err(wrong(&id, format!("there are more than {MOST_SERVERS} servers")));
+        }
+        let count = addresses.get_ref().len();
+        if !(1..=MOST_ADDRESSES).contains(&count) {
+            return Err(wrong(&addresses, format!("there are 1 to {MOST_ADDRESSES} addresses")));
+        }
+        let mut routes = Vec::new();
+        for raw in addresses.into_inner() {
+            if let Some(other) = taken.insert(raw.get_ref().address.0.clone(), id.get_ref().clone()) {
+                return Err(wrong(&raw, format!("the address is {other:?}'s already")));
+            }
+            let RawRoute { address, preference, label } = raw.into_inner();
+            routes.push(Route { address: address.0, preference, label });
+        }
+        said.insert(id.into_inner(), Said { routes, only });
     }
+    Ok(said)
 }
 
 fn believe(trust: &mut Trust, share: Option<Share>, window: Option<Seconds>, confirm: Option<Seconds>) {
@@ -414,6 +489,7 @@
         let mapping = Mapping {
             named,
             tagged_address: self.tagged_address,
+            also_tagged: self.also_tagged,
             states: [
                 or(self.states.passing, passing),
                 or(self.states.warning, warning),
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,7 +1,7 @@
 //! Takes a new configuration while the node runs: SIGHUP makes it read its file again.
 //!
 //! What can change without a restart is where discovery answers, and of the operators' file which services are
-//! followed in Consul. All else in the files holds from the next start.
+//! followed in Consul and at which addresses servers are reached. All else in the files holds from the next start.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -42,7 +42,8 @@
 fn follow_again(file: &Path, sources: &Sources) {
     match Operators::read(file) {
         Ok(operators) => {
-            sources.follow(&operators.membership.map(|merged| merged.consul).unwrap_or_default())
+            sources.follow(&operators.membership.map(|merged| merged.consul).unwrap_or_default());
+            sources.driver().say_addresses(operators.addresses);
         }
         Err(error) => log::line(format_args!("the operators' file is not used: {error}")),
     }
--- a/src/net/roster.rs
+++ b/src/net/roster.rs
@@ -56,6 +56,7 @@
     Some(Host {
         id: raw.instance_id,
         address,
+        others: Vec::new(),
         state,
         zone: raw.zone,
         kind: raw.machine_type,
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,817 +1,541 @@
-//! Connections to servers and the attempts on them: what goes out, what comes back, and which outcome that is.
+//! Connections to servers and the attempts on them: [`pool`] decides which connection an attempt has and where another
+//! is dialled; here are the sockets, and the loop of one attempt over a server's addresses.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::future::{poll_fn, Future};
 use std::io;
-use std::mem::MaybeUninit;
-use std::net::SocketAddr;
-use std::pin::{pin, Pin};
+use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
-use std::task::{Context, Poll, Waker};
-use std::time::{Duration, Instant};
-
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{Builder, Connection, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
-use hyper::http::response::Parts;
-use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
 use membership::{Host, State};
-use pool::Oddness;
-use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use pool::{
+    judge, Action, Address, Age, Changed, Closed, ConnId, DialId, Holders, Limits, Next, Pool, RouteId,
+    ServerKey, Taken, Ticket, Why,
+};
+use std::net::SocketAddr;
+use tokio::sync::{oneshot, Notify};
+use tokio::task::AbortHandle;
 
+use super::addresses::{routes, AllSaid};
+use super::answers::Room;
+use super::back::{Conn, Ended, Message};
 use super::config::Config;
 use super::log;
-use crate::{Ending, Report, ServerId};
-
-/// The largest body of a message that is held without a look at what else is.
-pub const MOST_BODY: usize = 64 * 1024;
-/// The largest body of an answer that tells its length: beyond what messages ordinarily have, and few enough bytes to be
-/// there within `ANSWER_STALL`.
-const MOST_LARGE: usize = 1024 * 1024;
-/// The most of a message's head that is read, and of a body that is read at a time.
-const BUFFER: usize = 32 * 1024;
-/// The most that comes ahead of and with an answer: its head, its body and its chunks' own lines, and some 1xx.
-const MOST_ANSWER: usize = 4 * MOST_BODY;
-/// An answer is sent as one: how long one that has begun may stand still in its head, and take for its body. That is
-/// many trips between data centres, and short enough to leave time for another attempt.
-const ANSWER_STALL: Duration = Duration::from_millis(250);
-/// A connection is retired after this part of the time that it may stand idle: it must not be closed under a
-/// request.
-const IDLE_PART: f64 = 0.8;
-
-/// What goes to a server, the same with each attempt but for the deadline.
-#[derive(Debug)]
-pub struct Message {
-    /// As the client sent it.
-    pub method: Method,
-    /// Path and query, as the client sent them.
-    pub uri: Uri,
-    /// The client's headers without those of its connection.
-    pub headers: HeaderMap,
-    /// As the client sent it.
-    pub body: Bytes,
-}
-
-/// A server's answer for the client.
-#[derive(Debug)]
-pub struct Served {
-    /// 200, or what the server objects to in the request.
-    pub status: StatusCode,
-    /// The body, unchanged.
-    pub body: Bytes,
-    /// Its type, where the server named one.
-    pub content_type: Option<HeaderValue>,
-}
-
-/// How an attempt ended.
-#[derive(Debug)]
-pub struct Ended {
-    /// The outcome.
-    pub ending: Ending,
-    /// The server's load report, if one came.
-    pub report: Option<Report>,
-    /// The answer of one that was served or rejected.
-    pub served: Option<Served>,
-}
-
-impl From<Ending> for Ended {
-    fn from(ending: Ending) -> Self {
-        Self { ending, report: None, served: None }
-    }
-}
-
-/// What has passed on a connection since its present request began.
-#[derive(Debug, Default)]
-struct Traffic {
-    written: Cell<u64>,
-    /// Whether the request is out to its last byte.
-    whole: Cell<bool>,
-    read: Cell<usize>,
-    /// The last bytes that came.
-    tail: Cell<[u8; 4]>,
-    /// Something came.
-    came: Notify,
-    /// What a large answer may bring beyond `MOST_ANSWER`.
-    large: Cell<usize>,
-    /// Whether more came than any answer has.
-    flooded: Cell<bool>,
-    /// Whether the next read must ask the system itself.
-    looking: Cell<bool>,
-    /// Whether bytes came that nobody had asked for.
-    unasked: Cell<bool>,
-}
-
-impl Traffic {
-    fn begin(&self) {
-        self.written.set(0);
-        self.whole.set(false);
-        self.read.set(0);
-        self.large.set(0);
-        self.tail.set([0; 4]);
-    }
-
-    fn note_read(&self, bytes: &[u8]) {
-        self.read.set(self.read.get() + bytes.len());
-        let mut tail = self.tail.get();
-        for byte in &bytes[bytes.len().saturating_sub(tail.len())..] {
-            tail.rotate_left(1);
-            tail[3] = *byte;
-        }
-        self.tail.set(tail);
-        self.came.notify_one();
-    }
-
-    /// Whether a head has begun and not ended. A whole one that the answer has not come with was a 1xx: after it the
-    /// server may well think for a while.
-    fn is_in_head(&self) -> bool {
-        self.read.get() > 0 && self.tail.get() != *b"\r\n\r\n"
-    }
-
-    /// Waits until a head stops short. Guards against answers that cannot be read and do not end: they would be
-    /// waited for until the request's time is over, with none left for another attempt.
-    async fn head_stalls(&self) {
-        loop {
-            if !self.is_in_head() {
-                self.came.notified().await;
-            } else if tokio::time::timeout(ANSWER_STALL, self.came.notified()).await.is_err() {
-                return;
-            }
-        }
-    }
-}
-
-/// A connection's socket that notes what passes: whether a request may have run depends on it, and whether what
-/// comes can be its answer.
-struct Metered {
-    stream: TcpStream,
-    traffic: Rc<Traffic>,
-}
-
-impl Metered {
-    fn note(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = &result {
-            self.traffic.written.set(self.traffic.written.get() + *n as u64);
-        }
-        result
-    }
-
-    /// Whether the system has heard of anything on an idle connection, which the event loop may not have yet. The
-    /// end of the connection makes it unfit for use, and so do bytes that nobody asked for: they belong to the
-    /// answer before, and would be taken for the next one.
-    fn has_news(&self) -> bool {
-        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
-            Ok(bytes) => {
-                self.traffic.unasked.set(self.traffic.unasked.get() || bytes > 0);
-                true
-            }
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        }
-    }
-
-    /// Guards against what came since the connection was picked: nothing is written then, and nothing has run.
-    fn refuses_to_begin(&self) -> Option<io::Error> {
-        let stale = self.traffic.written.get() == 0 && self.has_news();
-        stale.then(|| io::Error::other("bytes came ahead of the request"))
-    }
-}
-
-impl AsyncRead for Metered {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.traffic.looking.get() && self.has_news() {
-            return Poll::Ready(Ok(())); // Nothing read: the end.
-        }
-        let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let read = &buf.filled()[before..];
-        if !read.is_empty() {
-            self.traffic.note_read(read);
-            if self.traffic.read.get() > MOST_ANSWER + self.traffic.large.get() {
-                self.traffic.flooded.set(true);
-                return Poll::Ready(Err(io::Error::other("more came than any answer has")));
-            }
-        }
-        result
-    }
-}
-
-impl AsyncWrite for Metered {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        if let Some(error) = self.refuses_to_begin() {
-            return Poll::Ready(Err(error));
-        }
-        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.note(result)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        if let Some(error) = self.refuses_to_begin() {
-            return Poll::Ready(Err(error));
-        }
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.note(result)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    /// hyper flushes a socket once it has written all that it holds, and it holds the whole request before it
-    /// writes any of it (a request's body is one piece here). So a flush after a write is the last byte.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.traffic.written.get() > 0 {
-            self.traffic.whole.set(true);
-        }
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
+use crate::{Ending, ServerId};
 
-/// Counts a descriptor for as long as it lives.
-struct Counted(Rc<Cell<usize>>);
+/// Turns of one attempt. Each takes away an idle connection that has ended or an address that has broken, so this many
+/// are a server that closes what it accepts, again and again.
+const MOST_TURNS: usize = 64;
+/// The longest sleep between two looks at the clock.
+const LONGEST_SLEEP: Duration = Duration::from_secs(3_600);
 
-impl Counted {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(Rc::clone(count))
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
+/// An attempt under way: dropping what is in it ends it at once.
+pub struct Underway(RefCell<Option<Pin<Box<dyn Future<Output = Ended>>>>>);
 
-/// A connection to a server. Nothing but its owner moves it, so that dropping it closes the socket at once.
-struct Conn {
-    sender: SendRequest<Full<Bytes>>,
-    connection: Pin<Box<Connection<TokioIo<Metered>, Full<Bytes>>>>,
-    traffic: Rc<Traffic>,
-    idle_since: Instant,
-    _counted: Counted,
-}
-
-impl Conn {
-    async fn dial(address: SocketAddr, counted: Counted) -> io::Result<Self> {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let traffic = Rc::<Traffic>::default();
-        let io = TokioIo::new(Metered { stream, traffic: Rc::clone(&traffic) });
-        let (sender, connection) =
-            Builder::new().max_buf_size(BUFFER).handshake(io).await.map_err(io::Error::other)?;
-        let connection = Box::pin(connection);
-        Ok(Self { sender, connection, traffic, idle_since: Instant::now(), _counted: counted })
-    }
-
-    /// Whether it stands idle and open as far as this machine has heard, with nothing on it that came unasked.
-    /// Guards against a connection that was closed since the event loop last looked (what is written to it would end
-    /// as a reset), and against one that holds more than the answer before.
-    fn is_usable(&mut self) -> bool {
-        let mut cx = Context::from_waker(Waker::noop());
-        self.traffic.looking.set(true);
-        let polled = self.connection.as_mut().poll(&mut cx);
-        self.traffic.looking.set(false);
-        // An idle connection that ends in an error, and not the system's, has brought what answers nothing.
-        if matches!(&polled, Poll::Ready(Err(error)) if !is_of_the_system(error)) {
-            self.traffic.unasked.set(true);
-        }
-        polled.is_pending() && self.sender.is_ready()
-    }
-}
-
-fn is_of_the_system(error: &hyper::Error) -> bool {
-    std::error::Error::source(error).is_some_and(|cause| cause.is::<io::Error>())
-}
-
-impl Conn {
-    /// Whether it is usable; what it brought unasked is noted.
-    fn is_sound(&mut self, odd: &mut Oddness, now_ms: f64) -> bool {
-        let is_usable = self.is_usable();
-        if !is_usable && self.traffic.unasked.get() {
-            odd.note(now_ms);
-        }
-        is_usable
+impl Underway {
+    /// An attempt that has not begun.
+    #[must_use]
+    pub fn new(attempt: impl Future<Output = Ended> + 'static) -> Self {
+        Self(RefCell::new(Some(Box::pin(attempt))))
     }
-}
-
-/// Where the connection of an attempt is while it is out: taking it out ends the attempt at once.
-#[derive(Default)]
-pub struct Slot(RefCell<Option<Conn>>);
 
-impl Slot {
-    /// Closes the connection.
+    /// Gives it up; its connection is closed when this returns.
     pub fn close(&self) {
-        self.0.borrow_mut().take();
+        let attempt = self.0.borrow_mut().take();
+        drop(attempt);
     }
 
-    fn poll(&self, cx: &mut Context<'_>) {
-        let mut conn = self.0.borrow_mut();
-        if conn.as_mut().is_some_and(|c| c.connection.as_mut().poll(cx).is_ready()) {
-            conn.take();
-        }
-    }
-
-    /// Drives the connection and what waits for it as one: no task holds a connection that has been given up.
-    async fn drive<F: Future>(&self, future: F) -> F::Output {
-        let mut future = pin!(future);
-        poll_fn(|cx| {
-            self.poll(cx);
-            future.as_mut().poll(cx)
+    /// Waits for its end; for ever, if it is given up.
+    pub async fn ended(&self) -> Ended {
+        let ended = poll_fn(|cx| match &mut *self.0.borrow_mut() {
+            Some(attempt) => attempt.as_mut().poll(cx),
+            None => std::task::Poll::Pending,
         })
-        .await
+        .await;
+        self.close();
+        ended
     }
 }
 
 /// A server as its connections know it.
-#[derive(Default)]
 struct Server {
-    address: Option<SocketAddr>,
-    started_at_ms: f64,
+    host: Host,
+    /// Where membership has it; a list that says nothing of that leaves it where it was.
+    listed: Option<SocketAddr>,
     /// When its grace ends, of one that drains.
     closes_at: Option<Instant>,
-    /// The freshest last.
-    idle: Vec<Conn>,
-    odd: Oddness,
-}
-
-/// Room for large answers. Guards the limit on memory: servers could fill it with answers of ordinary number.
-#[derive(Clone)]
-struct Room(Arc<AtomicUsize>);
-
-impl Room {
-    fn new(bytes: usize) -> Self {
-        Self(Arc::new(AtomicUsize::new(bytes)))
-    }
-
-    /// Takes so many bytes until the share is dropped, if there are as many.
-    fn take(&self, bytes: usize) -> Option<Share> {
-        let left = self.0.load(Ordering::Relaxed).checked_sub(bytes)?;
-        self.0.store(left, Ordering::Relaxed); // One thread alone takes and gives.
-        Some(Share { room: self.clone(), bytes })
-    }
-}
-
-struct Share {
-    room: Room,
-    bytes: usize,
 }
 
-impl Drop for Share {
-    fn drop(&mut self) {
-        self.room.0.fetch_add(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// A large body, for as long as any part of it is held.
-struct Large {
-    body: Bytes,
-    _share: Share,
-}
-
-impl AsRef<[u8]> for Large {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
+/// A connection that nobody uses.
+struct Standing {
+    conn: Conn,
+    since_ms: f64,
+    age: Age,
 }
 
 /// The connections to all servers.
 pub struct Servers {
-    table: RefCell<HashMap<ServerId, Server>>,
-    /// Who is at an address.
-    holders: RefCell<HashMap<SocketAddr, ServerId>>,
-    open: Rc<Cell<usize>>,
-    most_open: usize,
+    pool: RefCell<Pool>,
+    standing: RefCell<HashMap<ConnId, Standing>>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Result<Lease, Why>>>>,
+    dials: RefCell<HashMap<DialId, AbortHandle>>,
+    table: RefCell<BTreeMap<ServerId, Server>>,
+    holders: RefCell<Holders>,
+    said: RefCell<AllSaid>,
+    wake_at_ms: Cell<f64>,
+    earlier: Notify,
     large: Room,
-    dial_timeout: Duration,
-    idle_limit: Duration,
+    cold_ms: f64,
     drain_grace: Duration,
-    /// What the pool's milliseconds count from.
-    start: Instant,
+    /// The pool's clock: Unix time at the start and what has passed since.
+    start: (Instant, f64),
 }
 
 impl Servers {
-    /// No servers yet.
+    /// No servers yet. [`Servers::wake_up`] is to be run beside.
     #[must_use]
-    pub fn new(config: &Config) -> Self {
-        Self {
+    pub fn new(config: &Config) -> Rc<Self> {
+        let ms = |time: Duration| time.as_secs_f64() * 1e3;
+        let most_open = config.limits.server_connections();
+        let limits = Limits {
+            most_open,
+            most_per_server: most_open,
+            dial_timeout_ms: ms(config.dial_timeout),
+            idle_ms: ms(config.idle_limit),
+            ..Limits::default()
+        };
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Rc::new(Self {
+            pool: RefCell::new(Pool::new(limits)),
+            standing: RefCell::default(),
+            waiting: RefCell::default(),
+            dials: RefCell::default(),
             table: RefCell::default(),
             holders: RefCell::default(),
-            open: Rc::default(),
-            most_open: config.limits.server_connections(),
+            said: RefCell::default(),
+            wake_at_ms: Cell::new(f64::INFINITY),
+            earlier: Notify::new(),
             large: Room::new(config.limits.large_answers()),
-            dial_timeout: config.dial_timeout,
-            idle_limit: config.idle_limit.mul_f64(IDLE_PART),
+            cold_ms: config.settings.cold_ms,
             drain_grace: config.drain_grace,
-            start: Instant::now(),
-        }
+            start: (Instant::now(), ms(unix)),
+        })
     }
 
-    fn ms(&self, at: Instant) -> f64 {
-        at.saturating_duration_since(self.start).as_secs_f64() * 1e3
+    fn now_ms(&self) -> f64 {
+        self.start.1 + self.start.0.elapsed().as_secs_f64() * 1e3
     }
 
-    /// Takes what discovery says of a server that is there; idle connections to one that is somewhere else or has
-    /// started anew are of no more use. Tells which server cannot be there any more: there is one at an address, the
-    /// one that started last. What is meant for one that is gone must not reach its successor.
-    pub fn update(&self, at: ServerId, host: &Host) -> Option<ServerId> {
-        let mut table = self.table.borrow_mut();
-        let server = table.entry(at).or_default();
-        let moved = host.address.is_some() && server.address != host.address;
-        if moved || server.started_at_ms.to_bits() != host.started_at_ms.to_bits() {
-            server.idle.clear();
+    /// Asks or tells the pool something, and does what it wants done.
+    fn with<R>(self: &Rc<Self>, ask: impl FnOnce(&mut Pool, f64, &mut Vec<Action>) -> R) -> R {
+        let mut actions = Vec::new();
+        let answer = ask(&mut self.pool.borrow_mut(), self.now_ms(), &mut actions);
+        for action in actions {
+            self.carry_out(action, &mut None);
         }
-        let before = server.address;
-        server.address = host.address.or(before);
-        server.started_at_ms = host.started_at_ms;
-        if host.state == State::Ready {
-            server.closes_at = None;
-        } else {
-            server.idle.clear();
-            server.closes_at.get_or_insert_with(|| Instant::now() + self.drain_grace);
-        }
-        let address = server.address?;
-        let mut holders = self.holders.borrow_mut();
-        if let Some(before) = before.filter(|before| *before != address && holders.get(before) == Some(&at)) {
-            holders.remove(&before);
-        }
-        let other = *holders.get(&address).filter(|other| **other != at).unwrap_or(&at);
-        let is_later = table.get(&other).is_some_and(|o| o.started_at_ms > host.started_at_ms);
-        if other != at && (is_later || host.state != State::Ready) {
-            return Some(at);
-        }
-        holders.insert(address, at);
-        Some(other).filter(|other| *other != at)
+        answer
     }
 
-    /// Forgets a server that is gone: nothing goes there any more, and the connections that are in use are closed
-    /// with their answers.
-    pub fn forget(&self, at: ServerId) {
-        let Some(gone) = self.table.borrow_mut().remove(&at) else { return };
-        let mut holders = self.holders.borrow_mut();
-        if let Some(address) = gone.address.filter(|address| holders.get(address) == Some(&at)) {
-            holders.remove(&address);
+    fn carry_out(self: &Rc<Self>, action: Action, fresh: &mut Option<Conn>) {
+        match action {
+            Action::Dial { dial, server: _, route } => self.dial(dial, route.address),
+            Action::Abort { dial } => {
+                if let Some(task) = self.dials.borrow_mut().remove(&dial) {
+                    task.abort();
+                }
+            }
+            Action::Grant { ticket, conn } => {
+                let Some(lease) = self.lease(conn, fresh) else { return };
+                self.tell(ticket, Ok(lease));
+            }
+            Action::Keep { conn } => {
+                if let Some(fresh) = fresh.take() {
+                    let kept = Standing { conn: fresh, since_ms: self.now_ms(), age: Age::Fresh };
+                    self.standing.borrow_mut().insert(conn, kept);
+                }
+            }
+            Action::Fail { ticket, why } => self.tell(ticket, Err(why)),
+            Action::Close { conn } => {
+                let closed = self.standing.borrow_mut().remove(&conn);
+                drop(closed);
+            }
+            Action::WakeAt(at) => {
+                self.wake_at_ms.set(at);
+                self.earlier.notify_one();
+            }
         }
     }
 
-    /// Closes the idle connections to a server.
-    pub fn close_idle(&self, at: ServerId) {
-        if let Some(server) = self.table.borrow_mut().get_mut(&at) {
-            server.idle.clear();
+    /// Tells an attempt what it has waited for; one that has left gives the connection back as it drops.
+    fn tell(&self, ticket: Ticket, what: Result<Lease, Why>) {
+        let waits = self.waiting.borrow_mut().remove(&ticket);
+        if let Some(waits) = waits {
+            let _ = waits.send(what);
         }
     }
 
-    /// Closes connections that have stood idle too long or that their servers have closed.
-    pub fn retire(&self) {
-        let now = Instant::now();
-        for server in self.table.borrow_mut().values_mut() {
-            let (idle, odd) = (&mut server.idle, &mut server.odd);
-            idle.retain_mut(|conn| {
-                now - conn.idle_since < self.idle_limit && conn.is_sound(odd, self.ms(now))
-            });
-        }
+    /// A connection that the pool has handed out: one that stood, or the one that has just come up.
+    fn lease(self: &Rc<Self>, id: ConnId, fresh: &mut Option<Conn>) -> Option<Lease> {
+        let stood = self.standing.borrow_mut().remove(&id);
+        let standing = stood.or_else(|| {
+            let conn = fresh.take()?;
+            Some(Standing { conn, since_ms: self.now_ms(), age: Age::Fresh })
+        })?;
+        Some(Lease { servers: Rc::clone(self), id, standing: Some(standing), is_begun: false })
     }
 
-    /// Whether a send to a server may begin now.
-    fn is_open(&self, at: ServerId) -> bool {
-        let table = self.table.borrow();
-        table.get(&at).is_some_and(|s| s.closes_at.is_none_or(|closes| Instant::now() < closes))
+    fn dial(self: &Rc<Self>, dial: DialId, address: Address) {
+        let servers = Rc::clone(self);
+        let task = tokio::task::spawn_local(async move {
+            let dialled = Conn::dial(&address).await;
+            servers.dialled(dial, dialled);
+        });
+        self.dials.borrow_mut().insert(dial, task.abort_handle());
     }
 
-    /// An idle connection that is fit for use, if there is one. For one that has just had its answer it waits until
-    /// nothing came behind that: a new connection would cost more.
-    async fn idle(&self, at: ServerId) -> Option<Conn> {
-        loop {
-            match self.freshest(at)? {
-                Ok(conn) => return Some(conn),
-                Err(rested) => tokio::time::sleep_until(rested.into()).await,
-            }
+    fn dialled(self: &Rc<Self>, dial: DialId, dialled: io::Result<Conn>) {
+        self.dials.borrow_mut().remove(&dial);
+        let mut actions = Vec::new();
+        let now = self.now_ms();
+        let kept = self.pool.borrow_mut().dialled(now, dial, dialled.is_ok(), &mut actions);
+        let mut fresh = dialled.ok().filter(|_| kept);
+        for action in actions {
+            self.carry_out(action, &mut fresh);
         }
     }
 
-    /// The freshest idle connection that has rested, or else when one will have.
-    fn freshest(&self, at: ServerId) -> Option<Result<Conn, Instant>> {
-        let mut table = self.table.borrow_mut();
-        let server = table.get_mut(&at)?;
-        let now = Instant::now();
-        let rest = Duration::from_secs_f64(server.odd.rest_ms(self.ms(now)) / 1e3);
-        while let Some(rested) = server.idle.iter().rposition(|conn| now - conn.idle_since >= rest) {
-            let mut conn = server.idle.remove(rested);
-            // Guards against a request on a connection that the server has closed meanwhile: it would end as
-            // a reset, and a reset may have run.
-            if now - conn.idle_since < self.idle_limit && conn.is_sound(&mut server.odd, self.ms(now)) {
-                return Some(Ok(conn));
-            }
+    /// Takes what discovery says of a server that is there; idle connections to one that is somewhere else or has
+    /// started anew are of no more use. Tells which servers cannot be there any more: there is one at an address, the
+    /// one that started last. What is meant for one that is gone must not reach its successor.
+    pub fn update(self: &Rc<Self>, at: ServerId, host: &Host) -> Vec<ServerId> {
+        let is_ready = host.state == State::Ready;
+        let (listed, was) = {
+            let mut table = self.table.borrow_mut();
+            let before = table.remove(&at);
+            let listed = host.address.or(before.as_ref().and_then(|before| before.listed));
+            let grace = || Instant::now() + self.drain_grace;
+            let closes_at = (!is_ready)
+                .then(|| before.as_ref().and_then(|before| before.closes_at).unwrap_or_else(grace));
+            table.insert(at, Server { host: host.clone(), listed, closes_at });
+            (listed, before.map(|before| before.host.started_at_ms))
+        };
+        let routes = routes(&self.said.borrow(), host, listed);
+        let changed = self.holders.borrow_mut().name(ServerKey(at.0), routes, host.started_at_ms, is_ready);
+        if !is_ready || was.is_some_and(|was| was.to_bits() != host.started_at_ms.to_bits()) {
+            self.close_idle(at);
         }
-        server.idle.first().map(|conn| Err(conn.idle_since + rest))
+        self.moved(&changed);
+        if self.cold_ms > 0.0 && host.started_at_ms > 0.0 {
+            let until = host.started_at_ms + self.cold_ms;
+            self.pool.borrow_mut().set_cold(ServerKey(at.0), until);
+        }
+        changed.gone.into_iter().map(|gone| ServerId(gone.0)).collect()
     }
 
-    /// Guards the limit on descriptors: the connection that has been idle longest makes room.
-    fn make_room(&self) -> bool {
-        if self.open.get() < self.most_open {
-            return true;
+    fn moved(self: &Rc<Self>, changed: &Changed) {
+        for server in &changed.moved {
+            let routes = self.holders.borrow().routes(*server);
+            self.with(|pool, now, actions| pool.update(now, *server, routes, actions));
         }
-        let mut table = self.table.borrow_mut();
-        let oldest = table.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].idle_since);
-        oldest.map(|server| server.idle.remove(0)).is_some()
     }
 
-    async fn dial(&self, at: ServerId) -> Result<Conn, Ending> {
-        let address = self.table.borrow().get(&at).and_then(|s| s.address).ok_or(Ending::Unreachable)?;
-        if !self.make_room() {
-            log::line("all connections to servers are in use");
-            return Err(Ending::NotSent);
-        }
-        let dialled = Conn::dial(address, Counted::new(&self.open));
-        match tokio::time::timeout(self.dial_timeout, dialled).await {
-            Ok(Ok(conn)) => Ok(conn),
-            _ => Err(Ending::Unreachable),
-        }
+    /// Takes what the operators' file says of addresses now; tells the servers as they are known, of which some may be
+    /// reached in another way.
+    #[must_use]
+    pub fn say(&self, said: AllSaid) -> Vec<Host> {
+        *self.said.borrow_mut() = said;
+        self.table.borrow().values().map(|server| server.host.clone()).collect()
     }
 
-    fn note_odd(&self, at: ServerId) {
-        if let Some(server) = self.table.borrow_mut().get_mut(&at) {
-            server.odd.note(self.ms(Instant::now()));
-        }
+    /// Forgets a server that is gone: nothing goes there any more, and the connections that are in use are closed
+    /// with their answers.
+    pub fn forget(self: &Rc<Self>, at: ServerId) {
+        self.table.borrow_mut().remove(&at);
+        self.with(|pool, now, actions| pool.forget(now, ServerKey(at.0), actions));
+        let changed = self.holders.borrow_mut().forget(ServerKey(at.0));
+        self.moved(&changed);
     }
 
-    fn give_back(&self, at: ServerId, slot: &Slot) {
-        let Some(mut conn) = slot.0.borrow_mut().take() else { return };
-        let mut table = self.table.borrow_mut();
-        let Some(server) = table.get_mut(&at) else { return };
-        if conn.is_sound(&mut server.odd, self.ms(Instant::now())) && server.closes_at.is_none() {
-            conn.idle_since = Instant::now();
-            server.idle.push(conn);
-        }
+    /// Closes the idle connections to a server.
+    pub fn close_idle(self: &Rc<Self>, at: ServerId) {
+        self.with(|pool, _, actions| pool.close_idle(ServerKey(at.0), actions));
     }
 
-    /// Makes one attempt and tells how it ended; the caller stops waiting by dropping it and closing the slot.
-    pub async fn attempt(&self, at: ServerId, message: &Message, deadline: Instant, slot: &Slot) -> Ended {
-        let conn = match self.idle(at).await {
-            Some(conn) => conn,
-            None => match self.dial(at).await {
-                Ok(conn) => conn,
-                Err(ending) => return ending.into(),
-            },
-        };
-        // The last look before anything is written: the list may have changed while the connection came up.
-        let now = Instant::now();
-        if !self.is_open(at) || now >= deadline {
-            return Ending::NotSent.into();
-        }
-        let traffic = Rc::clone(&conn.traffic);
-        traffic.begin();
-        *slot.0.borrow_mut() = Some(conn);
-        let request = request(message, deadline - now);
-        let ended = exchange(request, slot, &traffic, &self.large).await;
-        let ended = ended.unwrap_or_else(|broken| {
-            slot.close();
-            if traffic.unasked.get() || matches!(broken, Broken::Answer) {
-                self.note_odd(at);
+    /// Closes connections that have stood idle too long or that their servers have closed.
+    pub fn retire(self: &Rc<Self>) {
+        let mut ended = HashMap::new();
+        for (id, standing) in self.standing.borrow_mut().iter_mut() {
+            if let Some(how) = standing.conn.look() {
+                ended.insert(*id, how);
             }
-            // An answer is only looked at once the request is out; what breaks before that never ran.
-            match broken {
-                _ if !traffic.whole.get() => Ending::Unreachable,
-                Broken::Connection => Ending::Reset,
-                Broken::Answer => Ending::Spoilt,
+        }
+        self.standing.borrow_mut().retain(|id, _| !ended.contains_key(id));
+        self.with(|pool, now, actions| {
+            if !ended.is_empty() {
+                pool.ended(now, &ended, actions);
             }
-            .into()
+            pool.sweep(now, actions);
         });
-        self.give_back(at, slot);
-        ended
     }
-}
 
-/// What kept a server's answer from being had.
-enum Broken {
-    Connection,
-    /// It came, and cannot be read or does not end: the connection may well go on, and is of no more use.
-    Answer,
-}
-
-async fn exchange(
-    request: Request<Full<Bytes>>,
-    slot: &Slot,
-    traffic: &Traffic,
-    large: &Room,
-) -> Result<Ended, Broken> {
-    let answer = {
-        let mut conn = slot.0.borrow_mut();
-        conn.as_mut().ok_or(Broken::Connection)?.sender.send_request(request)
-    };
-    let answer = tokio::select! {
-        answer = slot.drive(answer) => answer,
-        () = traffic.head_stalls() => {
-            log::line("a server's answer does not go on");
-            return Err(Broken::Answer);
+    /// Calls the pool when it wants to be called.
+    pub async fn wake_up(self: Rc<Self>) {
+        loop {
+            let left_ms = self.wake_at_ms.get() - self.now_ms();
+            if left_ms <= 0.0 {
+                self.wake_at_ms.set(f64::INFINITY);
+                self.with(|pool, now, actions| pool.due(now, actions));
+                tokio::task::yield_now().await; // Whatever the pool asks for, others have their turn.
+                continue;
+            }
+            let left = Duration::try_from_secs_f64(left_ms / 1e3).unwrap_or(LONGEST_SLEEP).min(LONGEST_SLEEP);
+            tokio::select! {
+                () = tokio::time::sleep(left) => {}
+                () = self.earlier.notified() => {}
+            }
         }
-    };
-    match answer {
-        Ok(answer) => read_answer(answer, slot, traffic, large).await,
-        Err(error) if error.is_parse() || traffic.flooded.get() => {
-            log::line(format_args!("a server's answer is malformed: {error}"));
-            Err(Broken::Answer)
+    }
+
+    /// Whether a send to a server may begin now.
+    fn is_open(&self, at: ServerId) -> bool {
+        let table = self.table.borrow();
+        table.get(&at).is_some_and(|s| s.closes_at.is_none_or(|closes| Instant::now() < closes))
+    }
+
+    /// A connection by none of the addresses to avoid: one that stands idle, or whichever comes first of one that is
+    /// given back and one that is dialled.
+    async fn take(self: &Rc<Self>, at: ServerId, avoid: &[RouteId]) -> Result<Lease, Why> {
+        let taken = self.with(|pool, now, actions| pool.take(now, ServerKey(at.0), avoid, actions));
+        match taken {
+            Taken::Now(conn) => self.lease(conn, &mut None).ok_or(Why::Nowhere),
+            Taken::Later(ticket) => {
+                let (tell, told) = oneshot::channel();
+                self.waiting.borrow_mut().insert(ticket, tell);
+                Waits { servers: self, ticket, told }.told().await
+            }
+            Taken::Never(why) => Err(why),
+        }
+    }
+
+    /// Makes one attempt and tells how it ended; dropping it gives it up and closes its connection.
+    ///
+    /// To whoever chose the server this is one attempt, whatever the addresses: only one exchange in it has ever had
+    /// the request's last byte go out.
+    pub async fn attempt(self: Rc<Self>, at: ServerId, message: Rc<Message>, deadline: Instant) -> Ended {
+        let mut avoid = Vec::new();
+        for _ in 0..MOST_TURNS {
+            let mut lease = match self.take(at, &avoid).await {
+                Ok(lease) => lease,
+                Err(Why::Full) if avoid.is_empty() => {
+                    log::line("all connections to servers are in use");
+                    return Ending::NotSent.into();
+                }
+                Err(_) => return Ending::Unreachable.into(),
+            };
+            if lease.is_stale() {
+                continue;
+            }
+            // The last look before anything is written: the list may have changed while the connection came up.
+            let now = Instant::now();
+            if !self.is_open(at) || now >= deadline {
+                return Ending::NotSent.into();
+            }
+            match lease.exchange(&message, deadline - now).await {
+                Ok(ended) => {
+                    lease.done(at);
+                    return ended;
+                }
+                Err((Next::Again, _)) => {}
+                Err((Next::Elsewhere, by)) => avoid.extend(by),
+                Err((Next::Reset, _)) => return Ending::Reset.into(),
+                Err((Next::Spoilt, _)) => return Ending::Spoilt.into(),
+            }
         }
-        Err(_) => Err(Broken::Connection),
+        Ending::Unreachable.into()
     }
 }
 
-fn request(message: &Message, left: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(message.body.clone()));
-    *request.method_mut() = message.method.clone();
-    *request.uri_mut() = message.uri.clone();
-    *request.headers_mut() = message.headers.clone();
-    let left = format!("{}u", left.as_micros());
-    if let Ok(left) = HeaderValue::from_str(&left) {
-        request.headers_mut().insert("req-deadline", left);
-    }
-    request.headers_mut().entry(HOST).or_insert(HeaderValue::from_static("service.internal"));
-    request
+/// An attempt that waits for a connection.
+struct Waits<'a> {
+    servers: &'a Rc<Servers>,
+    ticket: Ticket,
+    told: oneshot::Receiver<Result<Lease, Why>>,
 }
 
-async fn read_answer(
-    answer: Response<Incoming>,
-    slot: &Slot,
-    traffic: &Traffic,
-    large: &Room,
-) -> Result<Ended, Broken> {
-    let (head, body) = answer.into_parts();
-    let report = head.headers.get("srv-load").and_then(read_report);
-    let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
-    let body = read_body(&head, body, slot, traffic, large).await;
-    if body.is_err() {
-        slot.close();
-    }
-    let (ending, body) = match (head.status, body) {
-        (StatusCode::OK, Ok(body)) => (Ending::Served, Some(body)),
-        (StatusCode::OK, Err(Broken::Answer)) => (Ending::Spoilt, None),
-        (StatusCode::OK, Err(Broken::Connection)) => (Ending::Reset, None),
-        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if declined => {
-            (Ending::Full, None)
-        }
-        (status, body) if blames_request(status) => (Ending::Rejected, Some(body.unwrap_or_default())),
-        _ => (Ending::Error, None),
-    };
-    let content_type = head.headers.get(CONTENT_TYPE).cloned();
-    let served = body.map(|body| Served { status: head.status, body, content_type });
-    Ok(Ended { ending, report, served })
+impl Waits<'_> {
+    async fn told(mut self) -> Result<Lease, Why> {
+        (&mut self.told).await.unwrap_or(Err(Why::Nowhere))
+    }
 }
 
-/// Whether the request itself is what a server objects to: another would say the same, and it is no fault of the
-/// server. The others of their hundred tell of the server's state.
-fn blames_request(status: StatusCode) -> bool {
-    let of_server = [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_EARLY, StatusCode::TOO_MANY_REQUESTS];
-    status.is_client_error() && !of_server.contains(&status)
-}
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.servers.waiting.borrow_mut().remove(&self.ticket);
+        self.servers.with(|pool, now, actions| pool.cancel(now, self.ticket, actions));
+    }
+}
+
+/// A connection that an attempt has. Dropped before anything is written it goes back; later it is closed.
+struct Lease {
+    servers: Rc<Servers>,
+    id: ConnId,
+    standing: Option<Standing>,
+    is_begun: bool,
+}
+
+impl Lease {
+    /// Closes a connection that is not fit for use.
+    fn is_stale(&mut self) -> bool {
+        let how = self.standing.as_mut().and_then(|standing| standing.conn.look());
+        if let Some(how) = how {
+            self.stale(how);
+        }
+        how.is_some()
+    }
+
+    fn stale(&mut self, how: Closed) {
+        let Some(standing) = self.standing.take() else { return };
+        let id = self.id;
+        self.servers.with(|pool, now, actions| pool.stale(now, id, how, now - standing.since_ms, actions));
+    }
+
+    /// Makes the exchange. A connection that broke is closed, the pool is told, and by which address it went.
+    async fn exchange(
+        &mut self,
+        message: &Message,
+        left: Duration,
+    ) -> Result<Ended, (Next, Option<RouteId>)> {
+        self.is_begun = true;
+        let Some(standing) = &mut self.standing else { return Err((Next::Again, None)) };
+        let exchanged = standing.conn.exchange(message, left, &self.servers.large).await;
+        let age = standing.age;
+        exchanged.map_err(|broken| {
+            let next = judge(age, broken.sent, broken.broke);
+            let by = self.servers.pool.borrow().route_of(self.id);
+            match next {
+                _ if broken.is_odd => self.closed(Closed::Odd),
+                Next::Again => self.stale(Closed::ByPeer),
+                Next::Elsewhere => self.closed(Closed::Broken),
+                Next::Reset | Next::Spoilt => self.closed(Closed::Spent),
+            }
+            (next, by)
+        })
+    }
 
-/// Reads an answer's body. Guards against one that is too large, stops short or has no end.
-async fn read_body(
-    head: &Parts,
-    body: Incoming,
-    slot: &Slot,
-    traffic: &Traffic,
-    large: &Room,
-) -> Result<Bytes, Broken> {
-    let size = body.size_hint();
-    // Only the end of the connection shows the end of a body of no stated length, and it must have been announced.
-    let chunked = head.headers.contains_key(TRANSFER_ENCODING);
-    let closes = head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-    let endless = size.exact().is_none() && !chunked && !closes;
-    let told = usize::try_from(size.exact().unwrap_or(0)).unwrap_or(usize::MAX);
-    let share = if told > MOST_BODY { large.take(told) } else { None };
-    if endless || told > MOST_LARGE || (told > MOST_BODY && share.is_none()) {
-        log::line("a server's answer is too large or does not tell its length");
-        return Err(Broken::Answer);
-    }
-    traffic.large.set(share.as_ref().map_or(0, |share| share.bytes));
-    let whole = tokio::time::timeout(ANSWER_STALL, Limited::new(body, told.max(MOST_BODY)).collect());
-    match slot.drive(whole).await {
-        Ok(Ok(body)) => {
-            let body = body.to_bytes();
-            Ok(match share {
-                Some(share) => Bytes::from_owner(Large { body, _share: share }),
-                None => body,
-            })
+    fn closed(&mut self, how: Closed) {
+        let closed = self.standing.take();
+        if closed.is_some() {
+            let id = self.id;
+            self.servers.with(|pool, now, actions| pool.closed(now, id, how, actions));
         }
-        Ok(Err(error)) if error.downcast_ref::<hyper::Error>().is_some_and(|e| e.is_incomplete_message()) => {
-            Err(Broken::Connection)
-        }
-        _ => {
-            log::line("a server's answer is too large, malformed or does not go on");
-            Err(Broken::Answer)
+    }
+
+    /// An answer has come; the connection goes back if it is fit for another.
+    fn done(mut self, at: ServerId) {
+        let how = self.standing.as_mut().and_then(|standing| standing.conn.look());
+        let drains = || self.servers.table.borrow().get(&at).is_none_or(|server| server.closes_at.is_some());
+        match how {
+            Some(how) => self.closed(how),
+            None if drains() => self.closed(Closed::Spent),
+            None => self.give_back(),
         }
     }
+
+    fn give_back(&mut self) {
+        let Some(Standing { conn, .. }) = self.standing.take() else { return };
+        let stands = Standing { conn, since_ms: self.servers.now_ms(), age: Age::Used };
+        self.servers.standing.borrow_mut().insert(self.id, stands);
+        let id = self.id;
+        self.servers.with(|pool, now, actions| pool.give_back(now, id, actions));
+    }
 }
 
-/// Reads a load report; one that is malformed is passed over.
-fn read_report(value: &HeaderValue) -> Option<Report> {
-    let text = value.to_str().ok().and_then(|text| text.trim().strip_prefix("TEXT "));
-    let Some(fields) = text else {
-        log::line("a load report is malformed");
-        return None;
-    };
-    let mut report = Report::default();
-    for field in fields.split(',') {
-        let Some((name, figure)) = field.split_once('=') else {
-            log::line("a load report is malformed");
-            continue;
-        };
-        let figure = figure.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0);
-        match name.trim() {
-            "inflight" | "active" => report.in_flight = figure,
-            "queue" | "waiting" => report.queued = figure,
-            _ => {}
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if self.is_begun {
+            self.closed(Closed::Spent);
+        } else {
+            self.give_back();
         }
     }
-    Some(report)
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::io::Write;
-
-    /// Guards against large answers that fill the memory, and against room that is not given back.
-    #[test]
-    fn large_answers_are_held_while_there_is_room() {
-        let room = Room::new(100);
-        let first = room.take(60).expect("room");
-        assert!(room.take(60).is_none());
-        let body = Bytes::from_owner(Large { body: Bytes::from_static(b"yes"), _share: first });
-        let part = body.slice(1..);
-        drop(body);
-        assert!(room.take(60).is_none(), "a part is held yet");
-        assert_eq!(part, "es");
-        drop(part);
-        assert!(room.take(100).is_some());
+    use std::pin::pin;
+    use std::task::{Context, Waker};
+
+    use bytes::Bytes;
+    use hyper::{HeaderMap, Method, Uri};
+
+    fn message() -> Rc<Message> {
+        Rc::new(Message {
+            method: Method::GET,
+            uri: Uri::from_static("/api"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        })
+    }
+
+    fn servers(address: SocketAddr) -> Rc<Servers> {
+        let text = testkit::config(address, &testkit::list(1, true, &[]), &testkit::settings(15_000));
+        let servers = Servers::new(&Config::parse(&text).expect("sound"));
+        tokio::task::spawn_local(Rc::clone(&servers).wake_up());
+        servers
     }
 
     /// Guards the rule on drains where the word comes between the choice of a server and the first byte.
     #[tokio::test]
     async fn nothing_goes_out_that_was_chosen_before_the_word_of_a_drain() {
+        tokio::task::LocalSet::new().run_until(drained_at_the_instant_of_a_send()).await;
+    }
+
+    async fn drained_at_the_instant_of_a_send() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let text = testkit::config(address, &testkit::list(1, true, &[]), &testkit::settings(15_000));
-        let servers = Servers::new(&Config::parse(&text).expect("sound"));
+        let servers = servers(address);
         let host = Host { address: Some(address), ..Host::named("s-0") };
         servers.update(ServerId(0), &host);
-        let message = Message {
-            method: Method::GET,
-            uri: Uri::from_static("/api"),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-        };
-        let slot = Slot::default();
         let deadline = Instant::now() + Duration::from_secs(60);
-        let mut attempt = pin!(servers.attempt(ServerId(0), &message, deadline, &slot));
+        let mut attempt = pin!(Rc::clone(&servers).attempt(ServerId(0), message(), deadline));
         let begun = attempt.as_mut().poll(&mut Context::from_waker(Waker::noop()));
         assert!(begun.is_pending(), "it is on its way");
         servers.update(ServerId(0), &Host { state: State::Draining, ..host });
         let ended = tokio::time::timeout(Duration::from_secs(5), attempt).await.expect("it sends, and waits");
         assert_eq!(ended.ending, Ending::NotSent);
+        drop(servers.standing.borrow_mut().drain().collect::<Vec<_>>());
         let (mut connection, _) = listener.accept().expect("a connection");
         let mut bytes = Vec::new();
         io::Read::read_to_end(&mut connection, &mut bytes).expect("an end in order");
         assert!(bytes.is_empty(), "nothing went out");
     }
 
-    /// Guards against bytes that come as the next request goes out, before the event loop has heard of them: they
-    /// would be taken for its answer. Nothing is written then, so that nothing has run.
+    /// Guards against descriptors that are lost count of, and against dials that nobody waits for.
     #[tokio::test]
-    async fn a_request_is_not_begun_behind_bytes_that_came_unasked() {
+    async fn what_is_given_up_leaves_nothing() {
+        tokio::task::LocalSet::new().run_until(given_up_at_each_stage()).await;
+    }
+
+    async fn given_up_at_each_stage() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let stream =
-            TcpStream::connect(listener.local_addr().expect("an address")).await.expect("it listens");
-        let (mut server, _) = listener.accept().expect("a connection");
-        let mut metered = Metered { stream, traffic: Rc::default() };
-        metered.traffic.begin();
-        server.write_all(b"HTTP/1.1 200 OK\r\n").expect("an open connection");
-        while !metered.has_news() {
-            std::thread::yield_now(); // The event loop, which runs on this thread, hears of nothing.
+        let address = listener.local_addr().expect("an address");
+        let servers = servers(address);
+        servers.update(ServerId(0), &Host { address: Some(address), ..Host::named("s-0") });
+        let deadline = Instant::now() + Duration::from_secs(60);
+        for turns in 0..40 {
+            let underway = Underway::new(Rc::clone(&servers).attempt(ServerId(0), message(), deadline));
+            for _ in 0..turns {
+                let mut ended = pin!(underway.ended());
+                let _ = ended.as_mut().poll(&mut Context::from_waker(Waker::noop()));
+                tokio::task::yield_now().await;
+            }
+            underway.close();
+            assert!(servers.waiting.borrow().is_empty() && servers.dials.borrow().is_empty());
+            let standing = servers.standing.borrow().len();
+            assert_eq!(servers.pool.borrow().open(), standing, "after {turns} turns");
         }
-        let mut cx = Context::from_waker(Waker::noop());
-        let written = Pin::new(&mut metered).poll_write(&mut cx, b"GET / HTTP/1.1\r\n");
-        assert!(matches!(written, Poll::Ready(Err(_))), "{written:?}");
-        let _ = Pin::new(&mut metered).poll_flush(&mut cx);
-        assert!(!metered.traffic.whole.get(), "it never ran");
     }
 }
--- a/src/net/sources.rs
+++ b/src/net/sources.rs
@@ -8,6 +8,7 @@
 use tokio::task::AbortHandle;
 
 use super::consul::{self, ConsulSource};
+use super::driver::Driver;
 use super::log;
 use super::members::Members;
 
@@ -31,6 +32,12 @@
         Rc::new(Self { members, seed, followed: RefCell::default() })
     }
 
+    /// Who is told of the servers.
+    #[must_use]
+    pub fn driver(&self) -> &Rc<Driver> {
+        self.members.driver()
+    }
+
     /// Follows these, and no others. One whose settings have not changed goes on as it is.
     pub fn follow(&self, wanted: &[ConsulSource]) {
         let mut followed = self.followed.borrow_mut();
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -26,8 +26,10 @@
         .lines()
         .map(|line| {
             let key = line.strip_prefix("# ").unwrap_or(line);
-            let is_key = key.starts_with('[') || key.split(" = ").next().is_some_and(|k| !k.contains(' '));
-            format!("{}\n", if is_key && key.contains(['=', '[']) { key } else { line })
+            let is_key = key.starts_with(['[', ']'])
+                || key.trim_start().starts_with("{ address")
+                || key.split(" = ").next().is_some_and(|k| !k.contains(' '));
+            format!("{}\n", if is_key && key.contains(['=', '[', ']']) { key } else { line })
         })
         .collect();
     let output = check(&opened);
@@ -42,6 +44,8 @@
 #[test]
 fn what_makes_no_sense_is_named_by_line_and_key() {
     let more = |line: &str| format!("{CONSUL}{line}\n");
+    let server =
+        |address: &str| format!("[[server]]\nid = \"s-0\"\naddresses = [{{address = \"{address}\"}}]\n");
     for (file, line, key) in [
         ("[membership]\nshare = 1\n".to_owned(), 2, "share"),
         ("[membership]\n\npanic_share = 1.5\n".to_owned(), 3, "panic_share"),
@@ -64,6 +68,15 @@
         (CONSUL.replace("\"c\"", "\"roster\""), 2, "name"),
         (format!("{CONSUL}{CONSUL}"), 6, "name"),
         ("consul = [\n".to_owned(), 1, "consul"),
+        (server("unix:run/s"), 3, "addresses"),
+        (server(&format!("unix:/{}", "x".repeat(107))), 3, "addresses"),
+        (server("localhost:80"), 3, "addresses"),
+        (server("[::1]:80\"}, {address = \"[::1]:80"), 3, "addresses"),
+        (server("[::1]:80\", preference = \"low"), 3, "addresses"),
+        (format!("{}{}", server("[::1]:80"), server("[::1]:81")), 5, "id"),
+        (format!("{}{}", server("[::1]:80"), server("[::1]:80").replace("s-0", "s-1")), 6, "addresses"),
+        (format!("{}also = 1\n", server("[::1]:80")), 4, "also"),
+        ("[[server]]\nid = \"s-0\"\naddresses = []\n".to_owned(), 3, "addresses"),
     ] {
         let output = check(&file);
         let said = text(&output.stderr).trim_end();
