Prove several addresses on three kinds; let a dial go on when its attempt needs it no more

An attempt that finds all connections in use dials, most then have one that is given back, and the dial was given up, though the server had paid for it. And servers that trade addresses in one list were taken for gone in the midst of it.

Change: such a dial goes on, its connection stands for the next, and whoever waits next adopts it. Holders are named list by list and settled once. The testkit has sockets of three kinds, for servers and links, and a link that closes at once; a head that is cut is no request to it any more.

Lists that change under load lose nothing.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -337,9 +337,8 @@
 
     /// A server started at a time that leaves it cold until `until`: it is dialled no faster than its limit.
     pub fn set_cold(&mut self, server: ServerKey, until: f64) {
-        if let Some(held) = self.servers.get_mut(&server) {
-            held.cold_until = until;
-        }
+        self.next += 1;
+        self.servers.entry(server).or_insert(Server::new(self.next)).cold_until = until;
     }
 
     /// A server is gone: what is idle is closed, what waits fails, and what is in use is closed when it is given back.
@@ -404,7 +403,7 @@
         let Some(server) = self.tickets.remove(&ticket) else { return };
         let Some(held) = self.servers.get_mut(&server) else { return };
         held.waiting.retain(|waiting| waiting.ticket != ticket);
-        self.release(server, ticket, actions);
+        self.release(server, ticket);
         self.serve(now, server, actions);
     }
 
@@ -445,7 +444,7 @@
                 held.busy += 1;
                 self.busy.insert(conn, held.in_use(server, route));
                 self.tickets.remove(&ticket);
-                self.release(server, ticket, actions);
+                self.release(server, ticket);
                 actions.push(Action::Grant { ticket, conn });
             }
             None => {
@@ -603,8 +602,8 @@
     }
 
     /// A ticket has no more use for its race, as it has its connection by another way or waits no more: the race goes on
-    /// for another who waits without one, or ends.
-    fn release(&mut self, server: ServerKey, ticket: Ticket, actions: &mut Vec<Action>) {
+    /// for another who waits without one, or for nobody.
+    fn release(&mut self, server: ServerKey, ticket: Ticket) {
         let Some(held) = self.servers.get_mut(&server) else { return };
         let Some(at) = held.races.iter().position(|race| race.ticket == Some(ticket)) else { return };
         match held.waiting.iter_mut().find(|waiting| !waiting.races && waiting.ticket != ticket) {
@@ -612,10 +611,12 @@
                 heir.races = true;
                 held.races[at].ticket = Some(heir.ticket);
             }
-            None => {
-                let race = held.races.remove(at);
-                self.abort(race, actions);
+            // The server has paid for what is being dialled: it comes up for the next, and no further address is tried.
+            None if !held.races[at].out.is_empty() => {
+                held.races[at].ticket = None;
+                held.races[at].plan.clear();
             }
+            None => drop(held.races.remove(at)),
         }
     }
 
@@ -647,7 +648,7 @@
             held.busy += 1;
             self.busy.insert(idle.conn, held.in_use(server, idle.route));
             self.tickets.remove(&ticket);
-            self.release(server, ticket, actions);
+            self.release(server, ticket);
             actions.push(Action::Grant { ticket, conn: idle.conn });
         }
     }
@@ -743,7 +744,19 @@
                 None if ahead => (None, Vec::new()),
                 None => return,
             };
-            let plan: VecDeque<_> = held.plan(now, &avoid).into();
+            let mut plan: VecDeque<_> = held.plan(now, &avoid).into();
+            // A race that goes on for nobody serves as well as a new one.
+            let adopted = held.races.iter_mut().find(|race| {
+                race.ticket.is_none() && race.out.iter().all(|(_, route, _)| !avoid.contains(route))
+            });
+            if let (Some(race), Some(_)) = (adopted, ticket) {
+                plan.retain(|route| race.out.iter().all(|(_, out, _)| out != route));
+                (race.ticket, race.plan) = (ticket, plan);
+                if let Some(waiting) = held.waiting.iter_mut().find(|w| Some(w.ticket) == ticket) {
+                    waiting.races = true;
+                }
+                continue;
+            }
             let ends_at = now + limits.dial_timeout_ms;
             if !self.has_room(server, actions) {
                 let Some(ticket) = ticket else { return };
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -22,12 +22,14 @@
 mod message;
 mod node;
 mod server;
+mod socket;
 
 pub use discovery::{entry, list, Discovery, Watch};
 pub use load::{Load, Totals};
 pub use message::{answer, post, read, Message};
 pub use node::{config, program, program_path, settings, write_config, Client, Node};
 pub use server::{Reply, Server, Unreachable};
+pub use socket::{Endpoint, Kind, Listener, Stream};
 
 use std::thread;
 use std::time::{Duration, Instant};
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use crate::discovery::{list, Discovery, Watch};
 use crate::message::Message;
@@ -258,6 +259,15 @@
         matches!(self.input.read(&mut [0; 1]), Ok(0) | Err(_))
     }
 
+    /// Whether the connection is open and nothing comes on it for a moment.
+    pub fn is_silent(&mut self) -> bool {
+        let stream = self.input.get_ref();
+        stream.set_read_timeout(Some(Duration::from_millis(50))).expect("a socket");
+        let came = self.input.read(&mut [0; 1]);
+        self.input.get_ref().set_read_timeout(Some(PATIENCE)).expect("a socket");
+        came.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// Whether the node ends the connection with its answer's end, and not with a reset.
     pub fn ends_in_order(&mut self) -> bool {
         matches!(self.input.read(&mut [0; 1]), Ok(0))
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -157,6 +157,15 @@
     ///
     /// The module does not take the settings.
     pub fn start(config: &Config) -> Result<Rc<Self>, ConfigError> {
+        Self::start_with(config, AllSaid::new())
+    }
+
+    /// The same, with what the operators say of servers' addresses.
+    ///
+    /// # Errors
+    ///
+    /// The module does not take the settings.
+    pub fn start_with(config: &Config, said: AllSaid) -> Result<Rc<Self>, ConfigError> {
         let settings = config.settings.clone();
         let rules = |class: &Class| ClassRule {
             effect: class.effect,
@@ -176,7 +185,7 @@
             balancer: RefCell::new(balancer),
             clock: Clock::new(),
             names,
-            servers: Servers::new(config),
+            servers: Servers::new(config, said),
             numbers: RefCell::default(),
             next_server: Cell::new(0),
             max_attempts,
@@ -210,7 +219,9 @@
     /// Takes what the operators say now of servers' addresses.
     pub fn say_addresses(self: &Rc<Self>, said: AllSaid) {
         let hosts = self.servers.say(said);
-        self.changes(&hosts);
+        if !hosts.is_empty() {
+            self.changes(&hosts);
+        }
     }
 
     /// The time by the driver's clock, in milliseconds of Unix time; it never runs backwards.
@@ -228,7 +239,7 @@
         if !matches!(kind(Vec::new()), Listing::Changes(_)) {
             self.forget_missing(hosts);
         }
-        let entries = hosts.iter().flat_map(|host| self.entries(host)).collect();
+        let entries = self.entries(hosts);
         self.feed(Event::Servers(kind(entries)));
     }
 
@@ -244,35 +255,40 @@
         });
     }
 
-    /// What the balancer is told of a host: that it is there, or that it is gone, or that others are gone for it.
-    fn entries(&self, host: &Host) -> Vec<ServerEntry> {
+    /// What the balancer is told of hosts: that they are there, or gone, or that others are gone for them.
+    fn entries(&self, hosts: &[Host]) -> Vec<ServerEntry> {
         let mut numbers = self.numbers.borrow_mut();
-        if host.state == State::Gone {
-            let gone = numbers.remove(&host.id);
-            return gone.map(|number| self.entry_of_gone(number)).into_iter().collect();
+        let (gone, there): (Vec<_>, Vec<_>) = hosts.iter().partition(|host| host.state == State::Gone);
+        let mut gone: Vec<_> = gone.into_iter().filter_map(|host| numbers.remove(&host.id)).collect();
+        gone.iter().for_each(|number| self.servers.forget(*number));
+        let mut numbered: Vec<(ServerId, &Host)> = Vec::with_capacity(there.len());
+        for host in there {
+            let number = numbers.entry(host.id.clone()).or_insert_with(|| {
+                let next = self.next_server.get();
+                self.next_server.set(next + 1);
+                ServerId(next)
+            });
+            numbered.push((*number, host));
         }
-        let number = *numbers.entry(host.id.clone()).or_insert_with(|| {
-            let next = self.next_server.get();
-            self.next_server.set(next + 1);
-            ServerId(next)
-        });
-        let replaced = self.servers.update(number, host);
+        let replaced = self.servers.update(&numbered);
         numbers.retain(|_, at| !replaced.contains(at));
-        let there = (!replaced.contains(&number)).then(|| ServerEntry {
-            server: number,
+        replaced.iter().for_each(|number| self.servers.forget(*number));
+        gone.extend(&replaced);
+        let gone = gone.into_iter().map(|number| ServerEntry::new(number, Availability::Gone));
+        let there = numbered.into_iter().filter(|(number, _)| !replaced.contains(number));
+        gone.chain(there.map(|(number, host)| self.entry(number, host))).collect()
+    }
+
+    fn entry(&self, server: ServerId, host: &Host) -> ServerEntry {
+        ServerEntry {
+            server,
             place: crate::wire::spread(&host.id),
             availability: availability(host.state),
             started_at: Some(host.started_at_ms).filter(|t| *t > 0.0),
             cell: host.cell.unwrap_or(0),
             zone: self.names.zones.get(&host.zone).unwrap_or(0),
             kind: self.names.kinds.get(&host.kind).unwrap_or(0),
-        });
-        replaced.into_iter().map(|replaced| self.entry_of_gone(replaced)).chain(there).collect()
-    }
-
-    fn entry_of_gone(&self, number: ServerId) -> ServerEntry {
-        self.servers.forget(number);
-        ServerEntry::new(number, Availability::Gone)
+        }
     }
 
     /// Takes a request that arrived at `arrived`. `None`: the node holds as many as it may.
--- /dev/null
+++ b/tests/addresses.rs
@@ -0,0 +1,258 @@
+//! Servers of several addresses, by the program on real sockets.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use testkit::link::{Fault, Link, Plan};
+use testkit::{
+    answer, config, list, post, read, settings, until, Client, Discovery, Endpoint, Kind, Node, Reply, Server,
+};
+
+/// The operators' file: each server's addresses, tried in this order, and no others.
+fn operators(servers: &[(&str, &[String])]) -> String {
+    let server = |(id, addresses): &(&str, &[String])| {
+        let address = |(at, text): (usize, &String)| format!("{{address = \"{text}\", preference = {at}}}");
+        let all: Vec<_> = addresses.iter().enumerate().map(address).collect();
+        format!("[[server]]\nid = \"{id}\"\nonly = true\naddresses = [{}]\n", all.join(", "))
+    };
+    servers.iter().map(server).collect()
+}
+
+/// A node that knows these servers at these addresses, and makes so many attempts.
+fn node(servers: &[(&str, &[String])], deadline_ms: u64, attempts: usize) -> (Node, Discovery) {
+    let discovery = Discovery::start();
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    let entries: Vec<_> = servers.iter().map(|(id, _)| testkit::entry(id, nowhere, "ready")).collect();
+    let settings = settings(deadline_ms)
+        .replace("\"max_attempts\":3", &format!("\"max_attempts\":{attempts}"))
+        .replace("\"dial_timeout_ms\":2000.0", "\"dial_timeout_ms\":800.0");
+    let config = config(discovery.address, &list(1, true, &entries), &settings);
+    (Node::start_with(&config, Some(&operators(servers))), discovery)
+}
+
+fn ok(_: &testkit::Message) -> Reply {
+    Reply::ok("yes")
+}
+
+/// A hold, with a key of its own.
+fn keyed(id: &str) -> String {
+    post(id, "hold", &format!("Idempotency-Key: {id}\r\n"), "x")
+}
+
+/// How often each id has come whole, over all addresses of all servers.
+fn arrivals<'a>(servers: impl IntoIterator<Item = &'a Server>) -> HashMap<String, usize> {
+    let mut came = HashMap::new();
+    for request in servers.into_iter().flat_map(Server::requests) {
+        *came.entry(request.header("req-id").expect("an id").to_owned()).or_default() += 1;
+    }
+    came
+}
+
+#[test]
+fn each_kind_of_address_serves() {
+    for kind in Kind::ALL {
+        let (server, endpoint) = Server::start_on(kind, ok);
+        let (node, _discovery) = node(&[("s-0", &[endpoint.to_string()])], 2_000, 1);
+        for (at, text) in [read("1", "900m"), keyed("2"), post("3", "pay", "", "x")].iter().enumerate() {
+            assert_eq!(node.ask(text).status(), 200, "{kind:?}, {at}");
+        }
+        assert_eq!(server.count(), 3);
+        assert_eq!(server.opened(), 1, "one connection carries them");
+    }
+}
+
+/// To the module a server is one server: an address that is down costs no attempt while another is up.
+#[test]
+fn an_address_that_is_down_costs_nothing_while_another_is_up() {
+    let (server, up) = Server::start_on(Kind::V6, ok);
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("file");
+    std::fs::write(&file, "no socket").expect("a file");
+    let down = testkit::Unreachable::start();
+    let addresses = [
+        format!("unix:{}", folder.path().join("missing").display()),
+        format!("unix:{}", file.display()),
+        down.address.to_string(),
+        up.to_string(),
+    ];
+    let (node, _discovery) = node(&[("s-0", &addresses)], 2_000, 1);
+    for id in 0..10 {
+        assert_eq!(node.ask(&post(&id.to_string(), "pay", "", "x")).status(), 200, "{id}");
+    }
+    assert_eq!(server.count(), 10);
+}
+
+/// The first address takes the connection and nothing more: a request that is out may have run, and is not sent by the
+/// other. Its client has its answer within its time.
+#[test]
+fn what_may_have_run_is_not_sent_by_another_address() {
+    for kind in Kind::ALL {
+        let (server, up) = Server::start_on(Kind::V4, ok);
+        for byte in [0, 10, 60, 100_000] {
+            let fault = if byte == 100_000 { Plan::sound() } else { Plan::at(byte, Fault::Stall) };
+            // What comes back is lost too, so that the last case is the answer that never comes.
+            let plans = move |_| (fault.clone(), Plan::at(0, Fault::Stall));
+            let (_link, stalled) = Link::start_on(kind, up.clone(), plans);
+            let (node, _discovery) = node(&[("s-0", &[stalled.to_string(), up.to_string()])], 300, 1);
+            let before = server.count();
+            assert_eq!(node.ask(&post("1", "pay", "", "x")).status(), 502, "{kind:?}, {byte}");
+            assert_eq!(server.count() - before, usize::from(byte == 100_000), "{kind:?}, {byte}");
+        }
+    }
+}
+
+/// A list of what went wrong at each stage, by its seed: of the connection itself, of what goes, of what comes back.
+fn plans(seed: u64, connection: usize) -> (Plan, Plan) {
+    let mut random = fastrand::Rng::with_seed(seed ^ (connection as u64) << 20);
+    let byte = random.usize(..1_500);
+    let stage = random.u8(..16);
+    if stage > 9 {
+        return (Plan::closed(), Plan::sound());
+    }
+    let there = match stage {
+        0 | 1 => Plan::at(byte, Fault::Cut),
+        2 => Plan::at(byte, Fault::Stall),
+        3 => Plan::at(byte, Fault::Delay(Duration::from_millis(random.u64(1..20)))),
+        _ => Plan::sound(),
+    };
+    let back = match stage {
+        4 | 5 => Plan::at(byte, Fault::Cut),
+        6 => Plan::at(byte, Fault::Stall),
+        7 => Plan::at(byte, Fault::Delay(Duration::from_millis(random.u64(1..20)))),
+        8 => Plan::at(byte, Fault::Repeat(random.usize(1..200))),
+        _ => Plan::sound(),
+    };
+    (there, back)
+}
+
+/// Three servers, each at three addresses of three kinds, each of which does wrong at every stage; one attempt a
+/// request. No request comes twice by whatever ways, and each has one answer.
+#[test]
+fn over_three_kinds_no_request_comes_twice_and_none_is_lost() {
+    const SERVERS: usize = 3;
+    const CLIENTS: u64 = 8;
+    const EACH: u64 = 400;
+    let mut servers = Vec::new();
+    let (mut links, mut addresses) = (Vec::new(), Vec::new());
+    for at in 0..SERVERS {
+        // Every other answer is the last on its connection, of which nothing is said.
+        let (server, first) = Server::start_on(Kind::V4, |request| {
+            let closes = request.header("req-id").is_some_and(|id| id.ends_with(['0', '2', '4', '6', '8']));
+            let answer = answer("200 OK", "", "yes");
+            if closes {
+                Reply::SayAndClose(answer)
+            } else {
+                Reply::Say(answer)
+            }
+        });
+        let own = [first, server.also(Kind::V6), server.also(Kind::Unix)];
+        let mut listed = Vec::new();
+        for (nth, (kind, to)) in Kind::ALL.into_iter().zip(own).enumerate() {
+            let seed = (at * 10 + nth) as u64;
+            let (link, endpoint): (Link, Endpoint) =
+                Link::start_on(kind, to, move |connection| plans(seed, connection));
+            links.push(link);
+            listed.push(endpoint);
+        }
+        listed.rotate_left(at); // Each kind is somebody's first.
+        addresses.push(listed);
+        servers.push(server);
+    }
+    let texts: Vec<Vec<String>> =
+        addresses.iter().map(|all| all.iter().map(ToString::to_string).collect()).collect();
+    let ids = ["s-0", "s-1", "s-2"];
+    let listed: Vec<(&str, &[String])> = ids.into_iter().zip(texts.iter().map(Vec::as_slice)).collect();
+    let (node, _discovery) = node(&listed, 150, 1);
+    let (answered, served) = (Arc::<AtomicU64>::default(), Arc::<AtomicU64>::default());
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let (address, answered, served) = (node.address, Arc::clone(&answered), Arc::clone(&served));
+            thread::spawn(move || {
+                let mut connection = Client::connect(address);
+                for number in 0..EACH {
+                    let id = format!("{client}-{number}");
+                    let text = match number % 3 {
+                        0 => keyed(&id),
+                        1 => post(&id, "pay", "", "x"),
+                        _ => read(&id, "140m"),
+                    };
+                    connection.send(&text);
+                    let answer = connection.answer().expect("exactly one answer");
+                    answered.fetch_add(1, Ordering::SeqCst);
+                    served.fetch_add(u64::from(answer.status() == 200), Ordering::SeqCst);
+                }
+                assert!(connection.is_silent(), "and nothing after the last");
+            })
+        })
+        .collect();
+    for client in clients {
+        client.join().expect("a client that had its answers");
+    }
+    let came = arrivals(&servers);
+    let twice: Vec<_> = came.iter().filter(|(_, times)| **times > 1).collect();
+    assert!(twice.is_empty(), "came twice: {twice:?}");
+    let (answered, served) = (answered.load(Ordering::SeqCst), served.load(Ordering::SeqCst));
+    assert_eq!(answered, CLIENTS * EACH);
+    let connections: usize = links.iter().map(Link::connections).sum();
+    eprintln!("{answered} requests, {} came, {served} served, {connections} connections", came.len());
+    let each: Vec<_> = links.iter().map(Link::connections).collect();
+    assert!(each.iter().all(|count| *count > 0), "every address was in use: {each:?}");
+    assert!(came.len() > 1_000 && served > 500 && connections > 200, "there was something to see");
+}
+
+/// The lists change while requests are in flight and connections stand idle: kinds come and go, servers trade
+/// addresses, one address has nobody any more. Nothing comes twice, nothing is lost.
+#[test]
+fn addresses_that_change_under_load_lose_nothing() {
+    let (first, v4) = Server::start_on(Kind::V4, ok);
+    let (v6, path) = (first.also(Kind::V6), first.also(Kind::Unix));
+    let (second, other) = Server::start_on(Kind::V4, ok);
+    let endpoints = [v4, v6, path, other];
+    let [v4, v6, path, other] = endpoints.each_ref().map(ToString::to_string);
+    let own = [v4.clone(), v6.clone(), path.clone()];
+    let (node, _discovery) = node(&[("s-0", &own), ("s-1", std::slice::from_ref(&other))], 2_000, 1);
+    let load = testkit::Load::start(node.address, 6, Duration::ZERO);
+    let one = |address: &String| vec![address.clone()];
+    let two = |first: &String, second: &String| vec![first.clone(), second.clone()];
+    let lists = [
+        (one(&path), one(&other)),
+        (two(&v6, &other), one(&v4)),
+        (two(&v4, &path), one(&v6)),
+        (one(&other), one(&path)),
+        (own.to_vec(), one(&other)),
+    ];
+    for (nth, (zero, one)) in lists.iter().cycle().take(15).enumerate() {
+        node.reload_operators(&operators(&[("s-0", zero.as_slice()), ("s-1", one.as_slice())]));
+        let before = first.count() + second.count();
+        until("it goes on", || first.count() + second.count() > before + 20);
+        assert!(!node.log().iter().any(|line| line.contains("not used")), "list {nth}");
+    }
+    let totals = load.end();
+    assert_eq!(totals.lost, 0);
+    assert_eq!(totals.of(200), totals.sent, "{:?}", totals.answers);
+    let came = arrivals([&first, &second]);
+    assert!(came.values().all(|times| *times == 1), "one comes twice");
+}
+
+/// A Unix socket's file is taken away and made anew, as a server does that is restarted.
+#[test]
+fn a_path_that_is_replaced_is_found_again() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("s");
+    let address = format!("unix:{}", path.display());
+    let (node, _discovery) = node(&[("s-0", &[address])], 2_000, 1);
+    for round in 0..3 {
+        let closing = |_: &testkit::Message| Reply::SayAndClose(answer("200 OK", "", ""));
+        let (server, endpoint) = Server::start_on(Kind::Unix, closing);
+        let Endpoint::Unix(real, _) = &endpoint else { panic!("a path") };
+        std::fs::rename(real, &path).expect("in place of the one before");
+        until("it is served there", || {
+            let answer = node.ask(&read(&format!("{round}-{}", server.count()), "900m"));
+            answer.status() == 200 && server.count() > 0
+        });
+        std::fs::remove_file(&path).expect("its file");
+    }
+}
