Run the server, node and client tests over IPv6 and Unix sockets, too; spare the hot path

Change: SILVERTHREAD_TEST_KIND makes the stand-ins listen on IPv6, or at paths that an operators' file names; test.sh runs the four suites over each. A connection is looked at once before a request, not twice; the deadline header and the framing's line need no allocation.

--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -136,7 +136,17 @@
         let entries: Vec<_> =
             servers.iter().enumerate().map(|(i, s)| s.entry(&format!("s-{i}"), "ready")).collect();
         let known = list(1, true, &entries);
-        let node = Self::start(&config(discovery.address, &known, &settings(deadline_ms)));
+        let at_paths: String = servers
+            .iter()
+            .enumerate()
+            .filter_map(|(i, server)| {
+                let path = server.path.as_ref()?;
+                let addresses = format!("addresses = [{{address = \"{path}\"}}]");
+                Some(format!("[[server]]\nid = \"s-{i}\"\nonly = true\n{addresses}\n"))
+            })
+            .collect();
+        let operators = Some(at_paths.as_str()).filter(|text| !text.is_empty());
+        let node = Self::start_with(&config(discovery.address, &known, &settings(deadline_ms)), operators);
         let watch = discovery.watch();
         (node, discovery, watch)
     }
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -30,15 +30,22 @@
 }
 
 /// What is known of a head so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Head {
-    line: Vec<u8>,
+    line: [u8; MOST_KEPT],
+    kept: usize,
     started: bool,
     lengths: usize,
     length: Option<u64>,
     encoded: bool,
 }
 
+impl Default for Head {
+    fn default() -> Self {
+        Self { line: [0; MOST_KEPT], kept: 0, started: false, lengths: 0, length: None, encoded: false }
+    }
+}
+
 impl Framing {
     /// Takes what has been read next.
     pub fn push(&mut self, mut bytes: &[u8]) {
@@ -99,15 +106,16 @@
     fn push(&mut self, bytes: &[u8]) -> (usize, bool) {
         let end = bytes.iter().position(|byte| *byte == b'\n');
         let piece = &bytes[..end.unwrap_or(bytes.len())];
-        let room = MOST_KEPT - self.line.len();
-        self.line.extend_from_slice(&piece[..piece.len().min(room)]);
+        let taken = piece.len().min(MOST_KEPT - self.kept);
+        self.line[self.kept..self.kept + taken].copy_from_slice(&piece[..taken]);
+        self.kept += taken;
         let Some(end) = end else { return (bytes.len(), false) };
         (end + 1, self.line_ends())
     }
 
     fn line_ends(&mut self) -> bool {
-        let mut kept = std::mem::take(&mut self.line);
-        let line = kept.trim_ascii_end();
+        let kept = self.line;
+        let line = kept[..std::mem::take(&mut self.kept)].trim_ascii_end();
         if line.is_empty() {
             return std::mem::replace(&mut self.started, false); // Empty lines ahead of a message are passed over.
         }
@@ -117,8 +125,6 @@
                 self.header(line[..colon].trim_ascii(), line[colon + 1..].trim_ascii());
             }
         }
-        kept.clear();
-        self.line = kept; // Its room serves the next line.
         false
     }
 
--- a/src/net/http1/exchange.rs
+++ b/src/net/http1/exchange.rs
@@ -1,7 +1,7 @@
 //! One connection and the exchanges on it.
 
 use std::future::{poll_fn, Future};
-use std::io;
+use std::io::{self, Write};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -190,13 +190,22 @@
     .await
 }
 
+/// A time in microseconds, as `480000u`.
+fn micros(time: Duration, text: &mut [u8]) -> Option<&[u8]> {
+    let room = text.len();
+    let mut left = &mut text[..];
+    write!(left, "{}u", time.as_micros()).ok()?;
+    let used = room - left.len();
+    Some(&text[..used])
+}
+
 fn request(message: &Message, left: Duration) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(message.body.clone()));
     *request.method_mut() = message.method.clone();
     *request.uri_mut() = message.uri.clone();
     *request.headers_mut() = message.headers.clone();
-    let left = format!("{}u", left.as_micros());
-    if let Ok(left) = HeaderValue::from_str(&left) {
+    let mut text = [0; 24]; // More than a u64 with its unit has.
+    if let Some(left) = micros(left, &mut text).and_then(|text| HeaderValue::from_bytes(text).ok()) {
         request.headers_mut().insert(REQ_DEADLINE, left);
     }
     request.headers_mut().entry(HOST).or_insert(HeaderValue::from_static("service.internal"));
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -345,9 +345,6 @@
                 }
                 Err(_) => return Ending::Unreachable.into(),
             };
-            if lease.is_stale() {
-                continue;
-            }
             // The last look before anything is written: the list may have changed while the connection came up.
             let now = Instant::now();
             if !self.is_open(at) || now >= deadline {
@@ -397,15 +394,6 @@
 }
 
 impl Lease {
-    /// Closes a connection that is not fit for use.
-    fn is_stale(&mut self) -> bool {
-        let how = self.standing.as_mut().and_then(|standing| standing.conn.look());
-        if let Some(how) = how {
-            self.stale(how);
-        }
-        how.is_some()
-    }
-
     fn stale(&mut self, how: Closed) {
         let Some(standing) = self.standing.take() else { return };
         let id = self.id;
@@ -559,7 +547,8 @@
     }
 
     async fn broken_in_the_midst() {
-        for (kind, closes) in testkit::Kind::ALL.into_iter().flat_map(|kind| [(kind, true), (kind, false)]) {
+        for (kind, closes) in testkit::Kind::all().into_iter().flat_map(|kind| [(kind, true), (kind, false)])
+        {
             // Takes a little of the request; then it resets the connection, or takes nothing more.
             let (listener, broken) = testkit::Listener::bind(kind);
             std::thread::spawn(move || {
--- a/test.sh
+++ b/test.sh
@@ -7,3 +7,7 @@
 RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --lib
 cargo build --locked --release
 cargo test --locked --workspace
+# The rules hold whatever the kind of address: the tests that play servers run again over the other kinds.
+for kind in v6 unix; do
+    SILVERTHREAD_TEST_KIND=$kind cargo test --locked --test servers --test node --test clients --test consul
+done
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -372,6 +372,9 @@
 #[test]
 fn a_new_server_at_an_old_ones_address_does_not_get_its_connections() {
     let server = Server::start(|_| Reply::ok("yes"));
+    if server.path.is_some() {
+        return; // The operators name the path, and no list moves a server away from it.
+    }
     let (node, _discovery, mut watch) = Node::with(&[&server], 15_000);
     assert_eq!(node.ask(&read("a", "15000m")).status(), 200);
     assert_eq!((server.opened(), server.closed()), (1, 0));
