Say when an address goes down and up; bounds of the pool in the operators' file

Need: operators must see what is remembered of addresses, and set the pool's limits.

Change: the pool tells once that an address does not come up, and once that it does again; the log names server, address and label. `[pool]` of the operators' file: connections_per_server, dials_at_a_time, cold_dials_per_s, ahead. A connection that stood idle before its first exchange counts as used: closed meanwhile, it says nothing of its address.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -152,6 +152,20 @@
         /// The connection.
         conn: ConnId,
     },
+    /// An address has stopped coming up; told once, until it comes up again.
+    Down {
+        /// The server.
+        server: ServerKey,
+        /// The address.
+        route: Route,
+    },
+    /// An address that had stopped comes up again.
+    Up {
+        /// The server.
+        server: ServerKey,
+        /// The address.
+        route: Route,
+    },
     /// Call [`Pool::due`] at this time, unless a later action names another.
     WakeAt(f64),
 }
@@ -162,6 +176,8 @@
     route: Route,
     memory: Memory,
     idle: IdleMemory,
+    /// Whether it has been told that it is down.
+    is_down: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -299,7 +315,7 @@
                 None => {
                     self.next += 1;
                     let (id, idle) = (RouteId(self.next), IdleMemory::new(idle_ms));
-                    Known { id, route, memory: Memory::default(), idle }
+                    Known { id, route, memory: Memory::default(), idle, is_down: false }
                 }
             });
         }
@@ -419,16 +435,16 @@
         let (_, route, _) = race.out.remove(out);
         if !up {
             self.open -= 1;
-            held.remember(route, |memory| memory.failed(now));
+            held.dial_failed(now, server, route, actions);
             held.races[at].next_at = now; // The next address at once.
             self.serve(now, server, actions);
             return false;
         }
-        held.remember(route, Memory::worked);
+        held.dial_worked(server, route, actions);
         let race = held.races.remove(at);
         // An address that has not come up while a later one has is slow, or a black hole.
         for (_, slow, _) in race.out.iter().filter(|(_, _, since)| now - since >= STAGGER_MS) {
-            held.remember(*slow, |memory| memory.failed(now));
+            held.dial_failed(now, server, *slow, actions);
         }
         let ticket = race.ticket;
         self.abort(race, actions);
@@ -662,7 +678,7 @@
             if is_over {
                 let race = held.races.remove(at);
                 for (_, route, _) in &race.out {
-                    held.remember(*route, |memory| memory.failed(now));
+                    held.dial_failed(now, server, *route, actions);
                 }
                 let ticket = race.ticket;
                 self.abort(race, actions);
@@ -827,6 +843,22 @@
         }
     }
 
+    fn dial_failed(&mut self, now: f64, server: ServerKey, route: RouteId, actions: &mut Vec<Action>) {
+        let Some(known) = self.routes.iter_mut().find(|known| known.id == route) else { return };
+        known.memory.failed(now);
+        if !std::mem::replace(&mut known.is_down, true) {
+            actions.push(Action::Down { server, route: known.route.clone() });
+        }
+    }
+
+    fn dial_worked(&mut self, server: ServerKey, route: RouteId, actions: &mut Vec<Action>) {
+        let Some(known) = self.routes.iter_mut().find(|known| known.id == route) else { return };
+        known.memory.worked();
+        if std::mem::take(&mut known.is_down) {
+            actions.push(Action::Up { server, route: known.route.clone() });
+        }
+    }
+
     /// The addresses in the order in which they are tried now: those that failed of late last.
     fn plan(&self, now: f64, avoid: &[RouteId]) -> Vec<RouteId> {
         let failed = |known: &&Known| known.memory.standing(now) == Standing::Failed;
--- a/crates/pool/tests/model.rs
+++ b/crates/pool/tests/model.rs
@@ -25,6 +25,7 @@
     fn note(&mut self, now: f64, actions: Vec<Action>) {
         for action in actions {
             match action {
+                Action::Down { .. } | Action::Up { .. } => {}
                 Action::Dial { dial, .. } => assert!(self.dials.insert(dial), "dialled twice"),
                 Action::Abort { dial } => assert!(self.dials.remove(&dial), "nothing to abort"),
                 Action::Grant { ticket, conn } => {
--- a/crates/pool/tests/races.rs
+++ b/crates/pool/tests/races.rs
@@ -16,6 +16,7 @@
     granted: Vec<(Ticket, ConnId)>,
     failed: Vec<(Ticket, Why)>,
     closed: Vec<ConnId>,
+    told: Vec<String>,
     wake_at: f64,
 }
 
@@ -37,6 +38,7 @@
             granted: Vec::new(),
             failed: Vec::new(),
             closed: Vec::new(),
+            told: Vec::new(),
             wake_at: f64::INFINITY,
         };
         play.update(texts);
@@ -57,6 +59,8 @@
                 Action::Fail { ticket, why } => self.failed.push((ticket, why)),
                 Action::Close { conn } => self.closed.push(conn),
                 Action::WakeAt(at) => self.wake_at = at,
+                Action::Down { route, .. } => self.told.push(format!("down {}", route.address)),
+                Action::Up { route, .. } => self.told.push(format!("up {}", route.address)),
                 Action::Keep { .. } => {}
             }
         }
@@ -404,6 +408,19 @@
     assert_eq!(play.failed, [(first, Why::Unreachable), (second, Why::Full)]);
 }
 
+/// Guards against a log that grows with each dial to an address that is down.
+#[test]
+fn an_address_is_told_down_once_and_up_once() {
+    let mut play = Play::new(&[V4]);
+    for up in [false, false, false, true, true, false] {
+        play.ticket();
+        play.comes(V4, up);
+        play.pass(100_000.0);
+    }
+    let [down, up] = ["down", "up"].map(|what| format!("{what} {V4}"));
+    assert_eq!(play.told, [down.clone(), up, down]);
+}
+
 /// Guards against a scan of all servers for each of them.
 #[test]
 fn three_thousand_idle_connections_end_at_once() {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -15,7 +15,7 @@
 use super::config::{Config, ConfigError, Names};
 use super::log;
 use super::roster;
-use super::servers::{Servers, Underway};
+use super::servers::{Bounds, Servers, Underway};
 use crate::wire::WireError;
 use crate::{
     Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request, RequestId,
@@ -157,15 +157,15 @@
     ///
     /// The module does not take the settings.
     pub fn start(config: &Config) -> Result<Rc<Self>, ConfigError> {
-        Self::start_with(config, AllSaid::new())
+        Self::start_with(config, AllSaid::new(), Bounds::default())
     }
 
-    /// The same, with what the operators say of servers' addresses.
+    /// The same, with what the operators say of servers' addresses and of connections to them.
     ///
     /// # Errors
     ///
     /// The module does not take the settings.
-    pub fn start_with(config: &Config, said: AllSaid) -> Result<Rc<Self>, ConfigError> {
+    pub fn start_with(config: &Config, said: AllSaid, bounds: Bounds) -> Result<Rc<Self>, ConfigError> {
         let settings = config.settings.clone();
         let rules = |class: &Class| ClassRule {
             effect: class.effect,
@@ -185,7 +185,7 @@
             balancer: RefCell::new(balancer),
             clock: Clock::new(),
             names,
-            servers: Servers::new(config, said),
+            servers: Servers::new(config, said, bounds),
             numbers: RefCell::default(),
             next_server: Cell::new(0),
             max_attempts,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -124,7 +124,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(system("listen for SIGINT"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(system("listen for clients"))?;
     let address = listener.local_addr().map_err(system("listen for clients"))?;
-    let driver = Driver::start_with(&config, extras.operators.addresses.clone())?;
+    let driver = Driver::start_with(&config, extras.operators.addresses.clone(), extras.operators.pool)?;
     log::line(format_args!("serves on {address}"));
     let known = Some(config.known.generation).filter(|_| !config.known.instances.is_empty());
     let (moves, addresses) = watch::channel(config.discovery);
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -18,6 +18,7 @@
 
 use super::addresses::{AllSaid, Said};
 use super::consul::ConsulSource;
+use super::servers::Bounds;
 
 /// The largest file: the addresses of as many servers as it may name.
 const MOST_FILE: u64 = 4 * 1024 * 1024;
@@ -36,6 +37,8 @@
     pub membership: Option<Merged>,
     /// Addresses of servers.
     pub addresses: AllSaid,
+    /// Bounds on connections to servers.
+    pub pool: Bounds,
 }
 
 /// The sources of the merged view.
@@ -170,6 +173,30 @@
     consul: Vec<RawConsul>,
     #[serde(default)]
     server: Vec<RawServer>,
+    #[serde(default)]
+    pool: RawPool,
+}
+
+/// Bounds on connections to servers.
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+struct RawPool {
+    connections_per_server: Option<Count>,
+    dials_at_a_time: Option<Count>,
+    cold_dials_per_s: Option<Rate>,
+    #[serde(default)]
+    ahead: bool,
+}
+
+impl From<RawPool> for Bounds {
+    fn from(raw: RawPool) -> Self {
+        Self {
+            most_per_server: raw.connections_per_server.map(|count| count.0),
+            most_dials: raw.dials_at_a_time.map(|count| count.0),
+            cold_dials_per_s: raw.cold_dials_per_s.map(|rate| rate.0),
+            ahead: raw.ahead,
+        }
+    }
 }
 
 /// A server's addresses.
@@ -335,6 +362,21 @@
 figure!(Seconds, 0.0..=86_400.0, "a time lies between 0 and 86400 seconds");
 figure!(Pace, 10.0..=10_000.0, "a pace lies between 10 and 10000 milliseconds");
 
+figure!(Rate, 0.1..=100_000.0, "a rate lies between 0.1 and 100000 a second");
+
+/// A bound that is one at the least.
+#[derive(Clone, Copy)]
+struct Count(usize);
+
+impl<'de> Deserialize<'de> for Count {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        match usize::deserialize(from)? {
+            count @ 1..=1_000_000 => Ok(Self(count)),
+            _ => Err(serde::de::Error::custom("a bound lies between 1 and 1000000")),
+        }
+    }
+}
+
 /// How long a blocking query may stand, as the API pages have it.
 #[derive(Clone, Copy)]
 struct Wait(u32);
@@ -390,7 +432,7 @@
             consul.push(raw.check()?);
         }
         let addresses = addresses(self.server)?;
-        Ok(Operators { membership: Some(Merged { roster, consul }), addresses })
+        Ok(Operators { membership: Some(Merged { roster, consul }), addresses, pool: self.pool.into() })
     }
 }
 
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -11,8 +11,8 @@
 
 use membership::{Host, State};
 use pool::{
-    judge, Action, Address, Age, Closed, ConnId, DialId, Holders, Limits, Next, Pool, RouteId, ServerKey,
-    Taken, Ticket, Why,
+    judge, Action, Address, Age, Closed, ConnId, DialId, Holders, Limits, Next, Pool, Route, RouteId,
+    ServerKey, Taken, Ticket, Why,
 };
 use std::net::SocketAddr;
 use tokio::sync::{oneshot, Notify};
@@ -75,6 +75,19 @@
     age: Age,
 }
 
+/// What the operators' file says of connections to servers; where it says nothing, [`Limits`] does.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Bounds {
+    /// Connections to one server, over all its addresses.
+    pub most_per_server: Option<usize>,
+    /// Races to one server at a time.
+    pub most_dials: Option<usize>,
+    /// Dials a second to a server that has just started.
+    pub cold_dials_per_s: Option<f64>,
+    /// Whether one connection more than needed is dialled under a rising load.
+    pub ahead: bool,
+}
+
 /// The connections to all servers.
 pub struct Servers {
     pool: RefCell<Pool>,
@@ -96,15 +109,18 @@
 impl Servers {
     /// No servers yet. [`Servers::wake_up`] is to be run beside.
     #[must_use]
-    pub fn new(config: &Config, said: AllSaid) -> Rc<Self> {
+    pub fn new(config: &Config, said: AllSaid, bounds: Bounds) -> Rc<Self> {
         let ms = |time: Duration| time.as_secs_f64() * 1e3;
         let most_open = config.limits.server_connections();
+        let ordinary = Limits::default();
         let limits = Limits {
             most_open,
-            most_per_server: most_open,
+            most_per_server: bounds.most_per_server.unwrap_or(most_open).min(most_open),
+            most_dials: bounds.most_dials.unwrap_or(ordinary.most_dials),
+            cold_dials_per_s: bounds.cold_dials_per_s.unwrap_or(ordinary.cold_dials_per_s),
+            ahead: bounds.ahead,
             dial_timeout_ms: ms(config.dial_timeout),
             idle_ms: ms(config.idle_limit),
-            ..Limits::default()
         };
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Rc::new(Self {
@@ -152,7 +168,7 @@
             }
             Action::Keep { conn } => {
                 if let Some(fresh) = fresh.take() {
-                    let kept = Standing { conn: fresh, since_ms: self.now_ms(), age: Age::Fresh };
+                    let kept = Standing { conn: fresh, since_ms: self.now_ms(), age: Age::Used };
                     self.standing.borrow_mut().insert(conn, kept);
                 }
             }
@@ -161,6 +177,8 @@
                 let closed = self.standing.borrow_mut().remove(&conn);
                 drop(closed);
             }
+            Action::Down { server, route } => self.tell_of(server, &route, "does not come up"),
+            Action::Up { server, route } => self.tell_of(server, &route, "comes up again"),
             Action::WakeAt(at) => {
                 self.wake_at_ms.set(at);
                 self.earlier.notify_one();
@@ -168,6 +186,13 @@
         }
     }
 
+    fn tell_of(&self, server: ServerKey, route: &Route, what: &str) {
+        let table = self.table.borrow();
+        let id = table.get(&ServerId(server.0)).map_or("a server that is gone", |s| s.host.id.as_str());
+        let label = route.label.as_deref().map(|label| format!(" ({label})")).unwrap_or_default();
+        log::line(format_args!("{id}: {}{label} {what}", route.address));
+    }
+
     /// Tells an attempt what it has waited for; one that has left gives the connection back as it drops.
     fn tell(&self, ticket: Ticket, what: Result<Lease, Why>) {
         let waits = self.waiting.borrow_mut().remove(&ticket);
@@ -481,7 +506,7 @@
 
     fn servers(address: SocketAddr) -> Rc<Servers> {
         let text = testkit::config(address, &testkit::list(1, true, &[]), &testkit::settings(15_000));
-        let servers = Servers::new(&Config::parse(&text).expect("sound"), AllSaid::new());
+        let servers = Servers::new(&Config::parse(&text).expect("sound"), AllSaid::new(), Bounds::default());
         tokio::task::spawn_local(Rc::clone(&servers).wake_up());
         servers
     }
--- a/tests/addresses.rs
+++ b/tests/addresses.rs
@@ -83,6 +83,8 @@
         assert_eq!(node.ask(&post(&id.to_string(), "pay", "", "x")).status(), 200, "{id}");
     }
     assert_eq!(server.count(), 10);
+    let told = node.log().iter().filter(|line| line.contains("does not come up")).count();
+    assert_eq!(told, 3, "each is told once");
 }
 
 /// The first address takes the connection and nothing more: a request that is out may have run, and is not sent by the
