Mend what a second reading of the pool found: one clock, one alarm, one place for ends

Cause: the node's clock and its wait for a wake-up stood twice (driver and servers; members and servers). What the end of a connection teaches stood three times in the pool. A dial that went on for nobody was given new addresses when the list changed.

Change: src/net/clock.rs has Clock and Alarm. Pool::closed is for connections in use, Pool::ended for idle ones, and both tell Server::note_end; an end in use of a server that has been forgotten touches nothing of its successor.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -342,7 +342,9 @@
                 stays
             });
             // Whoever waits for an address that is gone is tried at one that has come.
-            race.plan.extend(held.routes.iter().map(|known| known.id).filter(|id| !old.contains(id)));
+            if race.ticket.is_some() {
+                race.plan.extend(held.routes.iter().map(|known| known.id).filter(|id| !old.contains(id)));
+            }
             if race.out.is_empty() {
                 race.next_at = now;
             }
@@ -489,71 +491,45 @@
         }
     }
 
-    /// A connection has ended, in use or idle; whoever holds it closes it.
+    /// A connection in use has ended; whoever holds it closes it.
     pub fn closed(&mut self, now: f64, conn: ConnId, how: Closed, actions: &mut Vec<Action>) {
-        let (server, route, idle_ms) = match self.busy.remove(&conn) {
-            Some(Busy { server, route, incarnation }) => {
-                let held = self.servers.get_mut(&server);
-                if let Some(held) = held.filter(|held| held.incarnation == incarnation) {
-                    held.busy -= 1;
-                }
-                (server, route, None)
-            }
-            None => {
-                let found = self.servers.iter_mut().find_map(|(server, held)| {
-                    let at = held.idle.iter().position(|idle| idle.conn == conn)?;
-                    let idle = held.idle.remove(at);
-                    Some((*server, idle.route, Some(now - idle.since)))
-                });
-                let Some(found) = found else { return };
-                found
-            }
-        };
-        self.open -= 1;
-        let Some(held) = self.servers.get_mut(&server) else { return };
-        match (how, idle_ms) {
-            (Closed::Odd, _) => held.odd.note(now),
-            (Closed::Broken, _) => held.remember(route, |memory| memory.failed(now)),
-            (Closed::ByPeer, Some(idle_ms)) => {
-                if let Some(known) = held.routes.iter_mut().find(|known| known.id == route) {
-                    known.idle.closed(now, idle_ms);
-                }
-            }
-            (Closed::ByPeer, None) | (Closed::Spent, _) => {}
-        }
-        self.serve(now, server, actions);
+        self.end_use(now, conn, how, None, actions);
     }
 
     /// A connection that [`Pool::take`] handed out has turned out to be closed, or odd, before anything was written on
     /// it: it had stood idle since `idle_ms` ago.
     pub fn stale(&mut self, now: f64, conn: ConnId, how: Closed, idle_ms: f64, actions: &mut Vec<Action>) {
-        if let (Closed::ByPeer, Some(Busy { server, route, .. })) = (how, self.busy.get(&conn).copied()) {
-            let known = self.servers.get_mut(&server).map(|held| held.routes.iter_mut());
-            if let Some(known) = known.and_then(|mut routes| routes.find(|known| known.id == route)) {
-                known.idle.closed(now, idle_ms);
-            }
-        }
-        self.closed(now, conn, how, actions);
+        self.end_use(now, conn, how, Some(idle_ms), actions);
+    }
+
+    fn end_use(
+        &mut self,
+        now: f64,
+        conn: ConnId,
+        how: Closed,
+        idle_ms: Option<f64>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(Busy { server, route, incarnation }) = self.busy.remove(&conn) else { return };
+        self.open -= 1;
+        let held = self.servers.get_mut(&server).filter(|held| held.incarnation == incarnation);
+        let Some(held) = held else { return };
+        held.busy -= 1;
+        held.note_end(now, route, how, idle_ms);
+        self.serve(now, server, actions);
     }
 
-    /// Idle connections have ended: many at once, when a server is restarted.
+    /// Idle connections have ended, many at once where a server is restarted; whoever holds them closes them.
     pub fn ended(&mut self, now: f64, ended: &HashMap<ConnId, Closed>, actions: &mut Vec<Action>) {
         for held in self.servers.values_mut() {
-            let (routes, odd, open) = (&mut held.routes, &mut held.odd, &mut self.open);
-            held.idle.retain(|idle| {
-                let Some(how) = ended.get(&idle.conn) else { return true };
-                *open -= 1;
-                match how {
-                    Closed::Odd => odd.note(now),
-                    Closed::ByPeer => {
-                        if let Some(known) = routes.iter_mut().find(|known| known.id == idle.route) {
-                            known.idle.closed(now, now - idle.since);
-                        }
-                    }
-                    Closed::Broken | Closed::Spent => {}
-                }
-                false
-            });
+            let (gone, idle) = std::mem::take(&mut held.idle)
+                .into_iter()
+                .partition::<Vec<_>, _>(|idle| ended.contains_key(&idle.conn));
+            held.idle = idle;
+            self.open -= gone.len();
+            for idle in gone {
+                held.note_end(now, idle.route, ended[&idle.conn], Some(now - idle.since));
+            }
         }
         for server in self.active.clone() {
             self.serve(now, server, actions);
@@ -843,6 +819,20 @@
         }
     }
 
+    /// What the end of a connection tells; `idle_ms` of one that stood idle.
+    fn note_end(&mut self, now: f64, route: RouteId, how: Closed, idle_ms: Option<f64>) {
+        match (how, idle_ms) {
+            (Closed::Odd, _) => self.odd.note(now),
+            (Closed::Broken, _) => self.remember(route, |memory| memory.failed(now)),
+            (Closed::ByPeer, Some(idle_ms)) => {
+                if let Some(known) = self.routes.iter_mut().find(|known| known.id == route) {
+                    known.idle.closed(now, idle_ms);
+                }
+            }
+            (Closed::ByPeer, None) | (Closed::Spent, _) => {}
+        }
+    }
+
     fn dial_failed(&mut self, now: f64, server: ServerKey, route: RouteId, actions: &mut Vec<Action>) {
         let Some(known) = self.routes.iter_mut().find(|known| known.id == route) else { return };
         known.memory.failed(now);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,7 +4,7 @@
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use membership::{Host, State};
 use tokio::sync::{oneshot, Notify};
@@ -12,6 +12,7 @@
 
 use super::addresses::AllSaid;
 use super::back::{Ended, Message, Served};
+use super::clock::Clock;
 use super::config::{Config, ConfigError, Names};
 use super::log;
 use super::roster;
@@ -45,28 +46,6 @@
     Failed,
 }
 
-/// The driver's clock: Unix time at the node's start and what has passed since, which the system's steps do not
-/// move. When servers started is told in the same time.
-///
-/// It must not count from the start: to the balancer a server that it has never heard of was last heard of at
-/// zero, so a clock near zero would make all servers look heard of just now, and idle ones are then not tried.
-#[derive(Clone, Copy, Debug)]
-struct Clock {
-    start: Instant,
-    start_ms: f64,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { start: Instant::now(), start_ms: unix.as_secs_f64() * 1e3 }
-    }
-
-    fn now_ms(self) -> f64 {
-        self.start_ms + self.start.elapsed().as_secs_f64() * 1e3
-    }
-}
-
 /// An attempt that is out.
 struct Out {
     number: usize,
@@ -181,11 +160,12 @@
         let max_attempts = settings.max_attempts;
         let balancer = Balancer::new(settings, config.seed)
             .map_err(|error| ConfigError::Settings(WireError::other(&error)))?;
+        let clock = Clock::new();
         let driver = Rc::new(Self {
             balancer: RefCell::new(balancer),
-            clock: Clock::new(),
+            clock,
             names,
-            servers: Servers::new(config, said, bounds),
+            servers: Servers::new(config, said, bounds, clock),
             numbers: RefCell::default(),
             next_server: Cell::new(0),
             max_attempts,
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -4,11 +4,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
-use std::time::Duration;
 
 use membership::{Action, Authority, Event, Host, List, Membership, SourceId, State, Trust, Word};
-use tokio::sync::Notify;
 
+use super::clock::Alarm;
 use super::config::HostList;
 use super::driver::Driver;
 use super::log;
@@ -17,9 +16,6 @@
 /// The roster's place among the sources.
 const ROSTER: SourceId = 0;
 
-/// The longest sleep between two looks at the clock.
-const LONGEST_SLEEP: Duration = Duration::from_secs(3_600);
-
 /// Takes what the sources say and brings the driver what changes.
 pub struct Members {
     driver: Rc<Driver>,
@@ -28,8 +24,7 @@
 
 struct View {
     membership: RefCell<Membership>,
-    wake_at_ms: Cell<f64>,
-    earlier: Notify,
+    alarm: Alarm,
     /// What the roster named last, and in which version and history.
     named: RefCell<HashSet<String>>,
     generation: Cell<u64>,
@@ -48,8 +43,7 @@
     pub fn merged(driver: Rc<Driver>, roster: Trust, known: &HostList) -> Rc<Self> {
         let view = View {
             membership: RefCell::new(Membership::new(vec![roster])),
-            wake_at_ms: Cell::new(f64::INFINITY),
-            earlier: Notify::new(),
+            alarm: Alarm::new(),
             named: RefCell::default(),
             generation: Cell::new(0),
             history: Cell::new(0),
@@ -110,10 +104,7 @@
         for action in actions {
             match action {
                 Action::Changed(hosts) => self.driver.changes(&hosts),
-                Action::WakeAt(at) => {
-                    view.wake_at_ms.set(at);
-                    view.earlier.notify_one();
-                }
+                Action::WakeAt(at) => view.alarm.set(at),
                 Action::Note(note) => log::line(note),
             }
         }
@@ -142,17 +133,8 @@
     async fn wake_up(self: Rc<Self>) {
         let Some(view) = &self.view else { return };
         loop {
-            let left_ms = view.wake_at_ms.get() - self.driver.now_ms();
-            if left_ms <= 0.0 {
-                view.wake_at_ms.set(f64::INFINITY);
-                self.feed(Event::Due);
-                continue;
-            }
-            let left = Duration::try_from_secs_f64(left_ms / 1e3).unwrap_or(LONGEST_SLEEP).min(LONGEST_SLEEP);
-            tokio::select! {
-                () = tokio::time::sleep(left) => {}
-                () = view.earlier.notified() => {}
-            }
+            view.alarm.rings(|| self.driver.now_ms()).await;
+            self.feed(Event::Due);
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 mod answers;
 mod back;
 pub mod clients;
+mod clock;
 pub mod config;
 mod connection;
 pub mod consul;
