Answer operators' calls, drain and undrain, and take over a listening socket that is held

Need: operators run the node by calls (READY, STATS, DRAIN, UNDRAIN) and replace its process under load. The untouched program ended where its listening socket was the platform's (bind failed) and went on saying yes while it drained.

Design: crates/control has the calls, the figures and the course of a drain, without sockets or a clock; net/control.rs is the address, net/inherited.rs the socket. A drain says no at once, answers as ever for 0.4 s (a client sent away at once would be dealt straight back), ends each connection with its answer until 1.4 s, and then all that wait for nothing. Option not taken: to end idle connections at once; each that crosses a request costs its client a second connection. A process whose socket is shared takes connections for 0.3 s after SIGTERM, then leaves them to its successor. Option not taken: a mark in TMPDIR by which the two find each other; nothing needs it. The descriptor is taken by the crate listenfd, as a raw descriptor cannot be had without unsafe code. Requests are counted by holding a Taken that ends once, so those taken are those ended and those open at every moment. Attempts are counted as their last byte goes out.

The module gains servers_excluded, which reads and decides nothing.

--- a/crates/measure/src/bin/allocations.rs
+++ b/crates/measure/src/bin/allocations.rs
@@ -6,7 +6,7 @@
 use std::sync::mpsc;
 use std::thread;
 
-use silverthread::net::clients::{self, Phase};
+use silverthread::net::clients::{self, Entrance, Phase};
 use silverthread::net::config::Config;
 use silverthread::net::driver::Driver;
 use testkit::{config, list, read, settings, Client, Reply, Server};
@@ -48,7 +48,7 @@
         tell.send(listener.local_addr().expect("an address")).expect("somebody waits");
         let (_phase, phases) = watch::channel(Phase::Serving);
         tokio::select! {
-            () = clients::serve(listener, Rc::clone(&driver), phases, 100) => {}
+            () = clients::serve(listener, Rc::clone(&driver), Entrance::own(phases, 100)) => {}
             _ = ended => {}
         }
     });
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -1,7 +1,8 @@
 //! The program, run and signalled.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
@@ -91,9 +92,22 @@
     /// The same, with an operators' file.
     #[must_use]
     pub fn start_with(config: &str, operators: Option<&str>) -> Self {
+        Self::started(config, operators, program())
+    }
+
+    /// One process of a node whose listening socket the platform holds.
+    #[must_use]
+    pub fn start_on(config: &str, listener: &TcpListener) -> Self {
+        let held = listener.try_clone().expect("a socket");
+        let mut shell = Command::new("/bin/sh");
+        shell.env_remove("ROUTER_CONFIG").env_remove("SILVERTHREAD_CONFIG").env("ROUTER_LISTEN_FD", "3");
+        shell.args(["-c", "exec \"$0\" 3<&0 </dev/null"]).arg(program_path()).stdin(OwnedFd::from(held));
+        Self::started(config, None, shell)
+    }
+
+    fn started(config: &str, operators: Option<&str>, mut command: Command) -> Self {
         let config = write_config(config);
         let operators = operators.map(write_config);
-        let mut command = program();
         if let Some(operators) = &operators {
             command.arg("--config").arg(operators);
         }
@@ -123,6 +137,39 @@
         self.log.lock().expect("sound").clone()
     }
 
+    /// Where its operators call.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        let mut address = None;
+        until("it says where operators call", || {
+            let log = self.log();
+            let at = log.iter().find_map(|line| line.rsplit_once("operators call at ")).map(|(_, at)| at);
+            address = at.and_then(|at| at.parse().ok());
+            address.is_some()
+        });
+        address.expect("it said so")
+    }
+
+    /// An operator's call, and what it is answered.
+    #[must_use]
+    pub fn call(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.control()).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        stream.write_all(line.as_bytes()).expect("an open connection");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer and its end");
+        answer
+    }
+
+    /// One of its figures.
+    #[must_use]
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = self.call("STATS\n");
+        let line = text.lines().find_map(|line| line.strip_prefix(&format!("edge_router.{name}:")));
+        let value = line.and_then(|line| line.split_once('|')).and_then(|(value, _)| value.parse().ok());
+        value.unwrap_or_else(|| panic!("no figure {name} in {text}"))
+    }
+
     /// Its process, for figures of the system.
     #[must_use]
     pub fn process(&self) -> u32 {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -162,6 +162,13 @@
         self.servers.len()
     }
 
+    /// How many servers of the list it avoids: those that drain and those that are out.
+    #[must_use]
+    pub fn servers_excluded(&self, now: f64) -> usize {
+        let listed = |s: &&Server| s.entry.availability != Availability::Gone;
+        self.servers.values().filter(listed).filter(|s| !s.is_ready() || s.is_out(now)).count()
+    }
+
     fn listing(&mut self, listing: Listing) {
         let (entries, complete) = match listing {
             Listing::Changes(entries) => (entries, false),
@@ -293,7 +300,7 @@
             }
             // Guards against servers that turn away one tenant, or class, alone.
             let full = server.full_for.iter().any(|f| f.0 == held.whom && f.1 > now);
-            let out = server.ejected_until.is_some_and(|until| until > now || server.out > 0);
+            let out = server.is_out(now);
             // Guards against refusals beside servers that have room: what answers take there is work and the
             // way, no queue. It covers few servers left, a node alone and one just started. It could hurt
             // where servers serve one at a time, or reports are old: so our own out are bounded as well.
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use control::Counter;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode, Uri};
 use pool::{Address, Broke, Closed, Sent};
@@ -27,6 +28,8 @@
     pub headers: HeaderMap,
     /// As the client sent it.
     pub body: Bytes,
+    /// Counts the attempts whose last byte has gone out.
+    pub sent: Counter,
 }
 
 /// A server's answer for the client.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -10,9 +10,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use control::{Drain, End, Stay};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -40,6 +42,9 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 /// When a client is to come back that found too few connections free: some answers have gone out by then.
 const FREE_AGAIN_MS: f64 = 50.0;
+/// How long a node that is told to stop goes on taking connections from a socket that its successor listens on, too: as
+/// long as they were dealt to it before. Each that it took must still have had time to ask.
+const STILL_DEALT: Duration = Duration::from_millis(300);
 
 const REQ_ID: HeaderName = HeaderName::from_static("req-id");
 const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
@@ -98,9 +103,31 @@
     }
 }
 
+/// Where clients come in, and how long they may stay.
+#[derive(Clone)]
+pub struct Entrance {
+    /// How far the node is on its way out.
+    pub phases: watch::Receiver<Phase>,
+    /// Whether operators send its clients away.
+    pub drain: Rc<Cell<Drain>>,
+    /// Whether the listening socket is the platform's, and another process of this node listens on it, too.
+    pub is_shared: bool,
+    /// So many connections at the most.
+    pub most: usize,
+}
+
+impl Entrance {
+    /// Through a listening socket of the node's own, with no drain.
+    #[must_use]
+    pub fn own(phases: watch::Receiver<Phase>, most: usize) -> Self {
+        Self { phases, drain: Rc::default(), is_shared: false, most }
+    }
+}
+
 /// What the connections of clients share.
 struct Hall {
     driver: Rc<Driver>,
+    entrance: Entrance,
     phases: watch::Receiver<Phase>,
     places: Rc<Places>,
     /// The ids of the requests that are being read or served.
@@ -109,11 +136,13 @@
 
 /// Serves clients until the phase is [`Phase::Closing`] and all that was taken is answered, at the instant that it
 /// names at the latest: a client that does not read its answer must not hold up the end.
-pub async fn serve(listener: TcpListener, driver: Rc<Driver>, phases: watch::Receiver<Phase>, most: usize) {
-    let places = Places::new(most);
+pub async fn serve(listener: TcpListener, driver: Rc<Driver>, entrance: Entrance) {
+    let places = Places::new(entrance.most);
+    let phases = entrance.phases.clone();
     let hall = Rc::new(Hall {
         driver,
         phases: phases.clone(),
+        entrance,
         places: Rc::clone(&places),
         open: RefCell::default(),
     });
@@ -127,7 +156,34 @@
     };
     tokio::select! {
         () = end => {}
-        () = places.look_over() => {}
+        () = places.look_over(|| hall.stay()) => {}
+    }
+}
+
+impl Hall {
+    /// Whether the front should send clients here.
+    fn admits(&self) -> bool {
+        self.entrance.drain.get().admits()
+    }
+
+    /// How long clients' connections may stay.
+    fn stay(&self) -> Stay {
+        let drains = self.entrance.drain.get().stay(self.driver.now_ms());
+        let leaves = match *self.phases.borrow() {
+            Phase::Closing(_) => Stay::Leave,
+            Phase::HandOver(_) if self.entrance.is_shared => Stay::OneMore,
+            _ => Stay::Any,
+        };
+        drains.max(leaves)
+    }
+
+    /// Waits until no more connections are to be taken.
+    async fn last_accept(&self, phases: &mut watch::Receiver<Phase>) {
+        if self.entrance.is_shared {
+            let _ = phases.wait_for(|phase| *phase != Phase::Serving).await;
+            return tokio::time::sleep(STILL_DEALT).await;
+        }
+        let _ = phases.wait_for(Phase::is_closing).await;
     }
 }
 
@@ -137,13 +193,13 @@
     hall: &Rc<Hall>,
     mut phases: watch::Receiver<Phase>,
 ) {
-    let mut closing = pin!(phases.wait_for(Phase::is_closing));
+    let mut closing = pin!(hall.last_accept(&mut phases));
     loop {
         // What has come is taken before the end of the hand-over is looked at: it would be reset.
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            _ = &mut closing => return,
+            () = &mut closing => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -246,7 +302,7 @@
                 false => respond(request, hall, due).await,
             };
             place.enter(Stage::Answer);
-            if hall.phases.borrow().is_closing() || socket.framing.borrow().is_last(this) {
+            if hall.stay() > Stay::Any || socket.framing.borrow().is_last(this) {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -311,6 +367,9 @@
 
 async fn respond(request: Request<Incoming>, hall: &Hall, due: Instant) -> Response<Full<Bytes>> {
     match request.uri().path() {
+        "/up" if request.method() == Method::GET && !hall.admits() => {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
+        }
         "/up" if request.method() == Method::GET => plain(StatusCode::OK, ""),
         "/up" => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
         "/api" => api(request, hall, due).await.unwrap_or_else(|(status, why)| plain(status, why)),
@@ -357,9 +416,27 @@
     hall: &Hall,
     due: Instant,
 ) -> Result<Response<Full<Bytes>>, Rejection> {
-    let driver = &hall.driver;
     let (head, body) = request.into_parts();
-    let meaning = Meaning::read(&head.method, &head.headers, driver)?;
+    let meaning = Meaning::read(&head.method, &head.headers, &hall.driver)?;
+    let taken = hall.driver.figures.take(meaning.class);
+    let answer = answer_to(meaning, head, body, hall, due).await;
+    let status = answer.as_ref().map_or_else(|(status, _)| *status, Response::status);
+    taken.end(match status {
+        StatusCode::OK => End::Served,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => End::Refused,
+        _ => End::Failed,
+    });
+    answer
+}
+
+async fn answer_to(
+    meaning: Meaning,
+    head: Parts,
+    body: Incoming,
+    hall: &Hall,
+    due: Instant,
+) -> Result<Response<Full<Bytes>>, Rejection> {
+    let driver = &hall.driver;
     if body.size_hint().lower() > MOST_BODY as u64 {
         return Err(TOO_LARGE);
     }
@@ -376,13 +453,16 @@
     let arrived = Instant::now();
     let left = hall.phases.borrow().answer_by().map(|by| by.saturating_duration_since(arrived));
     let time = left.map_or(meaning.time, |left| meaning.time.min(left));
-    if matches!(*hall.phases.borrow(), Phase::HandOver(_)) && hall.places.few_free() {
+    // Where another process listens on the same socket, clients get connections as ever.
+    let is_left = matches!(*hall.phases.borrow(), Phase::HandOver(_)) && !hall.entrance.is_shared;
+    if is_left && hall.places.few_free() {
         return Ok(refusal(Some(FREE_AGAIN_MS)));
     }
     let headers = end_to_end(head.headers);
     // A client may name the host in the request line, too; a server is asked by path and query.
     let uri = head.uri.path_and_query().cloned().map_or(head.uri, Into::into);
-    let message = Message { method: head.method, uri, headers, body };
+    let sent = driver.figures.attempts(meaning.class).clone();
+    let message = Message { method: head.method, uri, headers, body, sent };
     let Some(taken) = driver.take(meaning.class, meaning.tenant, key, message, arrived, time) else {
         return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, ""));
     };
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -106,6 +106,14 @@
         Self(names.into_iter().enumerate().map(|(at, name)| (name, at)).collect())
     }
 
+    /// The names, in the order of what they stand for.
+    #[must_use]
+    pub fn in_order(&self) -> Vec<String> {
+        let mut names: Vec<_> = self.0.iter().collect();
+        names.sort_by_key(|(_, at)| **at);
+        names.into_iter().map(|(name, _)| name.clone()).collect()
+    }
+
     /// The index of a name.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<usize> {
@@ -124,6 +132,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, and nobody else.
+    pub control: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// Whether changes of the list come by themselves.
@@ -158,6 +168,8 @@
 struct Raw {
     listen: String,
     discovery: String,
+    #[serde(default)]
+    control: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -245,6 +257,7 @@
         let names = |named: Vec<Named>| Names::new(named.into_iter().map(|n| n.name));
         Ok(Self {
             listen: address("listen", &raw.listen)?,
+            control: raw.control.as_deref().map(|at| address("control", at)).transpose()?,
             discovery: address("discovery", &raw.discovery)?,
             push: settings.discovery == Discovery::Push,
             seed: u64::from_str_radix(&raw.seed, 16).map_err(|_| ConfigError::Value("seed", raw.seed))?,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use control::{Figures, Now};
 use membership::{Host, State};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -86,6 +87,8 @@
 pub struct Driver {
     balancer: RefCell<Balancer>,
     clock: Clock,
+    /// What became of requests.
+    pub figures: Figures,
     /// The names of the settings.
     pub names: SettingNames,
     servers: Rc<Servers>,
@@ -164,6 +167,7 @@
         let driver = Rc::new(Self {
             balancer: RefCell::new(balancer),
             clock,
+            figures: Figures::new(names.classes.in_order()),
             names,
             servers: Servers::new(config, said, bounds, clock),
             numbers: RefCell::default(),
@@ -210,6 +214,14 @@
         self.clock.now_ms()
     }
 
+    /// How many servers there are, and how many of them are avoided.
+    #[must_use]
+    pub fn servers_now(&self) -> Now {
+        let servers_known = self.numbers.borrow().len();
+        let servers_excluded = self.balancer.borrow().servers_excluded(self.now_ms());
+        Now { servers_known, servers_excluded }
+    }
+
     /// The list could not be had, or its changes come no more.
     pub fn list_failed(self: &Rc<Self>) {
         self.feed(Event::Servers(Listing::Failed));
--- a/src/net/http1/exchange.rs
+++ b/src/net/http1/exchange.rs
@@ -79,7 +79,7 @@
         left: Duration,
         large: &Room,
     ) -> Result<Ended, Broken> {
-        self.traffic.begin();
+        self.traffic.begin(&message.sent);
         let answer = self.sender.send_request(request(message, left));
         let answer = tokio::select! {
             biased;
--- a/src/net/http1/metered.rs
+++ b/src/net/http1/metered.rs
@@ -1,13 +1,14 @@
 //! A connection's socket that notes what passes: whether a request may have run depends on it, and whether what comes
 //! can be its answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use control::Counter;
 use pool::{Broke, Sent};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
@@ -33,6 +34,8 @@
     read: Cell<usize>,
     /// The last bytes that came.
     tail: Cell<[u8; 4]>,
+    /// Counts the requests that are out.
+    tally: RefCell<Counter>,
     /// Something came or went.
     moved: Notify,
     /// What a large answer may bring beyond `MOST_ANSWER`.
@@ -45,7 +48,8 @@
 
 impl Traffic {
     /// The next request begins.
-    pub fn begin(&self) {
+    pub fn begin(&self, tally: &Counter) {
+        self.tally.replace(tally.clone());
         self.written.set(0);
         self.whole.set(false);
         self.read.set(0);
@@ -207,8 +211,8 @@
     /// hyper flushes a socket once it has written all that it holds, and it holds the whole request before it
     /// writes any of it (a request's body is one piece here). So a flush after a write is the last byte.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.traffic.written.get() > 0 {
-            self.traffic.whole.set(true);
+        if self.traffic.written.get() > 0 && !self.traffic.whole.replace(true) {
+            self.traffic.tally.borrow().add();
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
@@ -235,7 +239,7 @@
         let stream = Stream::connect(&address).await.expect("it listens");
         let (mut server, _) = listener.accept().expect("a connection");
         let mut metered = Metered::new(stream, Rc::default());
-        metered.traffic.begin();
+        metered.traffic.begin(&Counter::default());
         server.write_all(b"HTTP/1.1 200 OK\r\n").expect("an open connection");
         // The event loop, which runs on this thread, hears of nothing.
         testkit::until("the system has heard", || metered.stream.news() == News::Bytes);
@@ -251,7 +255,7 @@
     #[tokio::test(start_paused = true)]
     async fn a_request_that_does_not_go_on_is_given_up() {
         let traffic = Traffic::default();
-        traffic.begin();
+        traffic.begin(&Counter::default());
         traffic.note_written(10);
         assert_eq!(traffic.stalls().await, Broke::Stalled);
         traffic.whole.set(true);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,10 +16,12 @@
 pub mod config;
 mod connection;
 pub mod consul;
+mod control;
 pub mod discovery;
 pub mod driver;
 mod framing;
 mod http1;
+mod inherited;
 mod log;
 pub mod members;
 pub mod operators;
@@ -40,7 +42,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use clients::Phase;
+use clients::{Entrance, Phase};
 use config::{Config, ConfigError};
 use driver::Driver;
 use members::Members;
@@ -123,7 +125,13 @@
     // SIGHUP ends a process that does not listen for it, so this stands before the node says that it is ready.
     let reload = signal(SignalKind::hangup()).map_err(system("listen for SIGHUP"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(system("listen for SIGINT"))?;
-    let listener = TcpListener::bind(config.listen).await.map_err(system("listen for clients"))?;
+    let held = inherited::listener().map_err(system("use the listening socket that it is handed"))?;
+    let is_shared = held.is_some();
+    let listener = match held {
+        Some(held) => TcpListener::from_std(held),
+        None => TcpListener::bind(config.listen).await,
+    };
+    let listener = listener.map_err(system("listen for clients"))?;
     let address = listener.local_addr().map_err(system("listen for clients"))?;
     let driver = Driver::start_with(&config, extras.operators.addresses.clone(), extras.operators.pool)?;
     log::line(format_args!("serves on {address}"));
@@ -135,8 +143,16 @@
     tokio::task::spawn_local(reload::follow(reload, moves, operators));
     let (phase, phases) = watch::channel(Phase::Serving);
     let longest = driver.names.rules.iter().map(|rule| rule.longest).max().unwrap_or_default();
-    let places = config.limits.client_connections();
-    let clients = clients::serve(listener, Rc::clone(&driver), phases, places);
+    let most = config.limits.client_connections();
+    let entrance = Entrance { is_shared, ..Entrance::own(phases, most) };
+    if let Some(address) = config.control {
+        let listener = TcpListener::bind(address).await.map_err(system("listen for operators"))?;
+        let at = listener.local_addr().map_err(system("listen for operators"))?;
+        log::line(format_args!("operators call at {at}"));
+        let desk = control::Desk::new(Rc::clone(&driver), entrance.clone());
+        tokio::task::spawn_local(control::serve(listener, desk));
+    }
+    let clients = clients::serve(listener, Rc::clone(&driver), entrance);
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use control::Stay;
 use tokio::sync::Notify;
 
 /// How long a client may take over a request, from its first byte (of the first on a connection: from connecting) to
@@ -84,8 +85,9 @@
         self.leave.notify_one();
     }
 
-    fn may_stay(&self) -> Duration {
+    fn may_stay(&self, stay: Stay) -> Duration {
         match self.stage.get() {
+            Stage::Silent | Stage::Idle if stay == Stay::Leave => PROMPT,
             Stage::Silent | Stage::Head => REQUEST_TIME,
             Stage::Answer => ANSWER_TIME,
             Stage::Idle => IDLE_TIME,
@@ -169,14 +171,16 @@
         free < (busy + free) / KEPT_FREE
     }
 
-    /// Asks those to leave that have been where they are for too long, for as long as it is polled.
-    pub async fn look_over(&self) {
+    /// Asks those to leave that have been where they are for too long, for as long as it is polled. `stay` says how long
+    /// clients may stay at all.
+    pub async fn look_over(&self, stay: impl Fn() -> Stay) {
         let mut ticks = tokio::time::interval(LOOK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let now = ticks.tick().await.into_std();
+            let stay = stay();
             for place in self.taken.borrow().values() {
-                if now.saturating_duration_since(place.since.get()) > place.may_stay() {
+                if now.saturating_duration_since(place.since.get()) > place.may_stay(stay) {
                     place.ask_to_leave();
                 }
             }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -484,6 +484,7 @@
             uri: Uri::from_static("/api"),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            sent: control::Counter::default(),
         })
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,6 +101,11 @@
         self.entry.availability == Availability::Ready
     }
 
+    /// Whether it is taken out, or on a trial that has not ended.
+    pub fn is_out(&self, now: f64) -> bool {
+        self.ejected_until.is_some_and(|until| until > now || self.out > 0)
+    }
+
     /// Whether nothing can be heard of it any more. Guards against a node that remembers every server there ever
     /// was: what it does and keeps follows those there are.
     pub fn is_over(&self) -> bool {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use silverthread::net::clients::{serve, Phase};
+use silverthread::net::clients::{serve, Entrance, Phase};
 use silverthread::net::config::Config;
 use silverthread::net::driver::Driver;
 use testkit::*;
@@ -455,7 +455,7 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
-        let serving = tokio::task::spawn_local(serve(listener, driver, phases, 16));
+        let serving = tokio::task::spawn_local(serve(listener, driver, Entrance::own(phases, 16)));
         let by = Instant::now() + PATIENCE;
         phase.send_replace(Phase::HandOver(by));
         let mut client = tokio::net::TcpStream::connect(address).await.expect("it still listens");
@@ -498,7 +498,7 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
-        tokio::task::spawn_local(serve(listener, driver, phases, 64));
+        tokio::task::spawn_local(serve(listener, driver, Entrance::own(phases, 64)));
         let mut clients = Vec::new();
         for _ in 0..12 {
             let mut client = tokio::net::TcpStream::connect(address).await.expect("it listens");
