--- a/crates/testkit/src/message.rs
+++ b/crates/testkit/src/message.rs
@@ -29,6 +29,10 @@
             headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
         let mut message = Self { first, headers, body: Vec::new() };
+        if message.header("transfer-encoding") == Some("chunked") {
+            message.body = read_chunks(from)?;
+            return Some(message);
+        }
         message.body = vec![0; message.header("content-length").map_or(0, |n| n.parse().expect("a length"))];
         from.read_exact(&mut message.body).ok()?;
         Some(message)
@@ -47,6 +51,23 @@
     }
 }
 
+/// The chunks of a body (RFC 9112, 7.1), without extensions and trailers.
+fn read_chunks(from: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok()?;
+        let length = usize::from_str_radix(line.strip_suffix("\r\n")?, 16).ok()?;
+        let start = body.len();
+        body.resize(start + length + 2, 0);
+        from.read_exact(&mut body[start..]).ok()?;
+        body.truncate(start + length);
+        if length == 0 {
+            return Some(body);
+        }
+    }
+}
+
 /// An answer with a length.
 #[must_use]
 pub fn answer(status: &str, headers: &str, body: &str) -> Vec<u8> {
--- a/src/net/back.rs
+++ b/src/net/back.rs
@@ -4,6 +4,7 @@
 //! a time; [`Conn`] is whichever it is. Dropping an exchange midway, and with it the connection, closes it.
 
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,8 +13,8 @@
 use hyper::{Method, StatusCode, Uri};
 use pool::{Address, Broke, Closed, Sent};
 
-use super::answers::Room;
 use super::http1;
+use super::passing::{Passing, Upload};
 use super::stream::Stream;
 use crate::{Ending, Report};
 
@@ -26,23 +27,49 @@
     pub uri: Uri,
     /// The client's headers without those of its connection.
     pub headers: HeaderMap,
-    /// As the client sent it.
-    pub body: Bytes,
+    /// As the client sent it, or sends it.
+    pub body: Asking,
     /// Counts the attempts whose last byte has gone out.
     pub sent: Counter,
 }
 
+/// The body of a request.
+#[derive(Debug)]
+pub enum Asking {
+    /// It is here.
+    Whole(Bytes),
+    /// Its client is sending it yet.
+    Passing(Upload),
+}
+
+impl Message {
+    /// Whether it can go out: a body of which a part is gone cannot.
+    #[must_use]
+    pub fn can_go(&self) -> bool {
+        !matches!(&self.body, Asking::Passing(upload) if upload.is_spent())
+    }
+}
+
 /// A server's answer for the client.
 #[derive(Debug)]
 pub struct Served {
     /// 200, or what the server objects to in the request.
     pub status: StatusCode,
     /// The body, unchanged.
-    pub body: Bytes,
+    pub body: Answering,
     /// Its type, where the server named one.
     pub content_type: Option<HeaderValue>,
 }
 
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Answering {
+    /// It is here.
+    Whole(Bytes),
+    /// It is passed on as it comes.
+    Passing(Passing),
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub struct Ended {
@@ -95,19 +122,20 @@
         }
     }
 
-    /// Makes an exchange; `left` is the request's time.
+    /// Makes an exchange; `left` is the request's time. An answer that is too long to be held goes to `begin`, and is
+    /// passed on to whoever has that for as long as this is polled.
     ///
     /// # Errors
     ///
     /// No answer's head was had.
     pub async fn exchange(
         &mut self,
-        message: &Message,
+        message: &Rc<Message>,
         left: Duration,
-        large: &Room,
+        begin: &dyn Fn(Served),
     ) -> Result<Ended, Broken> {
         match self {
-            Self::Http1(conn) => conn.exchange(message, left, large).await,
+            Self::Http1(conn) => conn.exchange(message, left, begin).await,
         }
     }
 }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -9,9 +9,9 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use control::{Drain, End, Stay};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use control::{Drain, End, Stay, Taken as Counted};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -19,15 +19,18 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use passage::{Pace, Room, Share};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::answers::MOST_BODY;
-use super::back::Message;
+use super::answers::{MOST_BODY, MOST_HELD, MOST_PASSED};
+use super::back::{Answering, Asking, Message, Served};
+use super::config::Limits;
 use super::driver::{Answer, Driver};
 use super::framing::Framing;
 use super::log;
+use super::passing::{passing, Feeder, Outgoing, Passed, Upload};
 use super::places::{Guest, Place, Places, Stage};
 use crate::Effect;
 
@@ -36,6 +39,9 @@
 /// The most that is read after the last answer on a connection, and for how long.
 const MOST_LINGERED: usize = 64 * MOST_BODY;
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// A body's least pace: three quarters of what the slowest clients have, with time given ahead for those that begin late.
+const LEAST_BYTES_PER_MS: f64 = 48.0;
+const GIVEN_MS: f64 = 1_500.0;
 /// The longest deadline that a client can mean.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(60 * 60);
 /// Wait after a connection could not be accepted, for want of descriptors say.
@@ -114,13 +120,16 @@
     pub is_shared: bool,
     /// So many connections at the most.
     pub most: usize,
+    /// Bytes of long requests that are held at a time.
+    pub room: usize,
 }
 
 impl Entrance {
     /// Through a listening socket of the node's own, with no drain.
     #[must_use]
     pub fn own(phases: watch::Receiver<Phase>, most: usize) -> Self {
-        Self { phases, drain: Rc::default(), is_shared: false, most }
+        let room = Limits::default().long_requests();
+        Self { phases, drain: Rc::default(), is_shared: false, most, room }
     }
 }
 
@@ -130,6 +139,7 @@
     entrance: Entrance,
     phases: watch::Receiver<Phase>,
     places: Rc<Places>,
+    room: Room,
     /// The ids of the requests that are being read or served.
     open: RefCell<HashSet<HeaderValue>>,
 }
@@ -142,6 +152,7 @@
     let hall = Rc::new(Hall {
         driver,
         phases: phases.clone(),
+        room: Room::new(entrance.room),
         entrance,
         places: Rc::clone(&places),
         open: RefCell::default(),
@@ -223,6 +234,15 @@
     place: Rc<Place>,
 }
 
+impl Socket {
+    fn noted(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(bytes)) if bytes > 0) {
+            self.place.goes_on();
+        }
+        written
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
@@ -240,7 +260,8 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf)
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
+        self.noted(written)
     }
 
     fn poll_write_vectored(
@@ -248,7 +269,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.noted(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -257,9 +279,7 @@
 
     /// hyper flushes once it has written all that it holds: then the answer is out.
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.place.stage() == Stage::Answer {
-            self.place.enter(Stage::Idle);
-        }
+        self.place.is_flushed();
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
@@ -294,14 +314,14 @@
         let this = number.get() + 1;
         number.set(this);
         async move {
-            let due = place.request_due();
             place.enter(Stage::Request);
             let doubtful = socket.framing.borrow().is_doubtful(this);
             let mut response = match doubtful {
                 true => plain(StatusCode::BAD_REQUEST, "the length is told in more than one way\n"),
-                false => respond(request, hall, due).await,
+                false => respond(request, hall, place).await,
             };
             place.enter(Stage::Answer);
+            place.set_passing(matches!(response.body(), Outgoing::Passing(..)));
             if hall.stay() > Stay::Any || socket.framing.borrow().is_last(this) {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
@@ -365,20 +385,20 @@
     }
 }
 
-async fn respond(request: Request<Incoming>, hall: &Hall, due: Instant) -> Response<Full<Bytes>> {
+async fn respond(request: Request<Incoming>, hall: &Hall, place: &Rc<Place>) -> Response<Outgoing> {
     match request.uri().path() {
         "/up" if request.method() == Method::GET && !hall.admits() => {
             plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
         }
         "/up" if request.method() == Method::GET => plain(StatusCode::OK, ""),
         "/up" => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
-        "/api" => api(request, hall, due).await.unwrap_or_else(|(status, why)| plain(status, why)),
+        "/api" => api(request, hall, place).await.unwrap_or_else(|(status, why)| plain(status, why)),
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: &'static str) -> Response<Outgoing> {
+    let mut response = Response::new(Outgoing::text(text));
     *response.status_mut() = status;
     response
 }
@@ -414,73 +434,208 @@
 async fn api(
     request: Request<Incoming>,
     hall: &Hall,
-    due: Instant,
-) -> Result<Response<Full<Bytes>>, Rejection> {
+    place: &Rc<Place>,
+) -> Result<Response<Outgoing>, Rejection> {
     let (head, body) = request.into_parts();
     let meaning = Meaning::read(&head.method, &head.headers, &hall.driver)?;
-    let taken = hall.driver.figures.take(meaning.class);
-    let answer = answer_to(meaning, head, body, hall, due).await;
-    let status = answer.as_ref().map_or_else(|(status, _)| *status, Response::status);
-    taken.end(match status {
+    let counted = hall.driver.figures.take(meaning.class);
+    let answer = match answer_to(meaning, head, body, hall).await {
+        Ok(Answer::Served(served)) => return Ok(pass_on(served, counted, place)),
+        Ok(Answer::Refused { after_ms }) => Ok(refusal(after_ms)),
+        Ok(Answer::Failed) => Ok(plain(StatusCode::BAD_GATEWAY, "")),
+        Err(rejection) => Err(rejection),
+    };
+    counted.end(end_of(answer.as_ref().map_or_else(|(status, _)| *status, Response::status)));
+    answer
+}
+
+fn end_of(status: StatusCode) -> End {
+    match status {
         StatusCode::OK => End::Served,
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => End::Refused,
         _ => End::Failed,
-    });
-    answer
+    }
 }
 
-async fn answer_to(
-    meaning: Meaning,
-    head: Parts,
-    body: Incoming,
-    hall: &Hall,
-    due: Instant,
-) -> Result<Response<Full<Bytes>>, Rejection> {
-    let driver = &hall.driver;
-    if body.size_hint().lower() > MOST_BODY as u64 {
+/// A server's answer for the client; it is counted as it ends.
+fn pass_on(served: Served, counted: Counted, place: &Rc<Place>) -> Response<Outgoing> {
+    let end = end_of(served.status);
+    let body = match served.body {
+        Answering::Whole(body) => {
+            counted.end(end);
+            Outgoing::whole(body)
+        }
+        Answering::Passing(passing) => {
+            let place = Rc::clone(place);
+            Outgoing::passing(passing, move |passed| {
+                place.set_passing(false);
+                match passed {
+                    Passed::Whole => counted.end(end),
+                    Passed::Cut => counted.end(End::Failed),
+                    Passed::Left => drop(counted),
+                }
+            })
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = served.status;
+    if let Some(content_type) = served.content_type {
+        response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    }
+    response
+}
+
+async fn answer_to(meaning: Meaning, head: Parts, body: Incoming, hall: &Hall) -> Result<Answer, Rejection> {
+    if body.size_hint().lower() > MOST_PASSED as u64 {
         return Err(TOO_LARGE);
     }
-    let _open = OpenId::open(&hall.open, meaning.id).ok_or(ALREADY_OPEN)?;
+    let driver = &hall.driver;
+    let Meaning { id, class, tenant, time } = meaning;
+    let _open = OpenId::open(&hall.open, id).ok_or(ALREADY_OPEN)?;
     let key = head.uri.query().and_then(key_of);
-    let body = tokio::time::timeout_at(due.into(), Limited::new(body, MOST_BODY).collect());
-    let body = match body.await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(TOO_LARGE),
-        Ok(Err(_)) => return Err(bad("the body is malformed\n")),
-        Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
-    };
+    let mut coming = Coming::new(body, driver.now_ms());
+    let held = coming.hold(hall).await?;
     // A request's time counts from its last byte. Guards against a node that is ended with requests unanswered.
     let arrived = Instant::now();
     let left = hall.phases.borrow().answer_by().map(|by| by.saturating_duration_since(arrived));
-    let time = left.map_or(meaning.time, |left| meaning.time.min(left));
+    let time = left.map_or(time, |left| time.min(left));
     // Where another process listens on the same socket, clients get connections as ever.
     let is_left = matches!(*hall.phases.borrow(), Phase::HandOver(_)) && !hall.entrance.is_shared;
     if is_left && hall.places.few_free() {
-        return Ok(refusal(Some(FREE_AGAIN_MS)));
+        return Ok(Answer::Refused { after_ms: Some(FREE_AGAIN_MS) });
     }
     let headers = end_to_end(head.headers);
     // A client may name the host in the request line, too; a server is asked by path and query.
     let uri = head.uri.path_and_query().cloned().map_or(head.uri, Into::into);
-    let sent = driver.figures.attempts(meaning.class).clone();
+    let sent = driver.figures.attempts(class).clone();
+    let (body, feeder) = match held {
+        Held::Whole(body) => (Asking::Whole(body), None),
+        Held::Part(first) => {
+            let (feeder, rest) = passing(coming.left());
+            (Asking::Passing(Upload::new(first, rest)), Some(feeder))
+        }
+    };
     let message = Message { method: head.method, uri, headers, body, sent };
-    let Some(taken) = driver.take(meaning.class, meaning.tenant, key, message, arrived, time) else {
-        return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, ""));
+    let Some(mut taken) = driver.take(class, tenant, key, message, arrived, time) else {
+        return Ok(Answer::Refused { after_ms: None });
     };
-    Ok(match taken.answer().await {
-        Answer::Served(served) => {
-            let mut response = Response::new(Full::new(served.body));
-            *response.status_mut() = served.status;
-            if let Some(content_type) = served.content_type {
-                response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    if let Some(feeder) = feeder {
+        let fed = tokio::select! {
+            biased;
+            answer = taken.answer() => return Ok(answer),
+            fed = coming.feed(feeder, hall) => fed?,
+        };
+        if fed {
+            taken.is_whole(Instant::now());
+        }
+    }
+    Ok(taken.answer().await)
+}
+
+/// A body on its way from its client.
+struct Coming {
+    body: Incoming,
+    pace: Pace,
+}
+
+/// What is held of a body.
+enum Held {
+    /// All of it.
+    Whole(Bytes),
+    /// Its beginning: the rest is longer than can be held.
+    Part(Bytes),
+}
+
+impl Coming {
+    fn new(body: Incoming, now_ms: f64) -> Self {
+        Self { body, pace: Pace::begin(now_ms, GIVEN_MS, LEAST_BYTES_PER_MS) }
+    }
+
+    /// How many bytes are to come, where that is told.
+    fn left(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
+    /// The next piece, or the end. Guards against a client that keeps a place with a body that does not come.
+    async fn piece(&mut self, hall: &Hall) -> Result<Option<Bytes>, Rejection> {
+        let late = (StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n");
+        loop {
+            let left_ms = (self.pace.due_ms() - hall.driver.now_ms()).max(0.0);
+            let frame = tokio::time::timeout(Duration::from_secs_f64(left_ms / 1e3), self.body.frame()).await;
+            match frame.map_err(|_| late)? {
+                None => return Ok(None),
+                Some(Err(_)) => return Err(bad("the body is malformed\n")),
+                Some(Ok(frame)) => {
+                    if let Ok(piece) = frame.into_data() {
+                        self.pace.moved(piece.len());
+                        return Ok(Some(piece));
+                    }
+                }
             }
-            response
         }
-        Answer::Refused { after_ms } => refusal(after_ms),
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY, ""),
-    })
+    }
+
+    /// Takes the body in, as far as it may be held.
+    async fn hold(&mut self, hall: &Hall) -> Result<Held, Rejection> {
+        let Some(first) = self.piece(hall).await? else { return Ok(Held::Whole(Bytes::new())) };
+        if self.body.is_end_stream() {
+            return Ok(Held::Whole(first));
+        }
+        let mut held = BytesMut::from(first);
+        let mut share = None::<Share>;
+        let told = self.left().map(|left| left.saturating_add(held.len() as u64));
+        while told.is_none_or(|told| told <= MOST_HELD as u64) && held.len() < MOST_HELD {
+            // What is longer than ordinary is held as long as there is room.
+            let beyond = held.len().saturating_sub(MOST_BODY);
+            let has_room = match &mut share {
+                _ if beyond == 0 => true,
+                Some(share) => share.grow(beyond.saturating_sub(share.bytes())),
+                None => {
+                    share = hall.room.take(beyond);
+                    share.is_some()
+                }
+            };
+            if !has_room {
+                break;
+            }
+            match self.piece(hall).await? {
+                Some(piece) => held.extend_from_slice(&piece),
+                None => {
+                    let body = held.freeze();
+                    return Ok(Held::Whole(match share {
+                        Some(share) => share.hold(body),
+                        None => body,
+                    }));
+                }
+            }
+        }
+        let body = held.freeze();
+        Ok(Held::Part(match share {
+            Some(share) => share.hold(body),
+            None => body,
+        }))
+    }
+
+    /// Feeds the rest to whoever sends it on; `false`: nobody does any more.
+    async fn feed(&mut self, feeder: Feeder, hall: &Hall) -> Result<bool, Rejection> {
+        let mut fed = 0;
+        while let Some(piece) = self.piece(hall).await? {
+            fed += piece.len();
+            if fed > MOST_PASSED {
+                return Err(TOO_LARGE);
+            }
+            let since_ms = hall.driver.now_ms();
+            if feeder.feed(piece).await.is_err() {
+                return Ok(false);
+            }
+            // Here it was the server that was waited for.
+            self.pace.held_up(hall.driver.now_ms() - since_ms);
+        }
+        Ok(feeder.end().await.is_ok())
+    }
 }
 
-fn refusal(after_ms: Option<f64>) -> Response<Full<Bytes>> {
+fn refusal(after_ms: Option<f64>) -> Response<Outgoing> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "");
     let seconds = after_ms.map(|ms| format!("{:.3}", ms / 1e3));
     if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -81,11 +81,10 @@
         (self.sockets / 2).max(1)
     }
 
-    /// Bytes of large answers that are held at a time: an eighth of the memory, as one that is being put together takes
-    /// its size twice.
+    /// Bytes of long requests that are held at a time: a quarter of the memory.
     #[must_use]
-    pub fn large_answers(self) -> usize {
-        self.memory_mb.saturating_mul(1024 * 1024 / 8)
+    pub fn long_requests(self) -> usize {
+        self.memory_mb.saturating_mul(1024 * 1024 / 4)
     }
 
     /// Connections to servers: three eighths; what remains is for discovery and the system.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -12,7 +12,7 @@
 use tokio::task::AbortHandle;
 
 use super::addresses::AllSaid;
-use super::back::{Ended, Message, Served};
+use super::back::{Asking, Ended, Message, Served};
 use super::clock::Clock;
 use super::config::{Config, ConfigError, Names};
 use super::log;
@@ -30,6 +30,8 @@
 const LONGEST_TIMER: Duration = Duration::from_secs(71 * 60);
 /// A wake-up that is so late is told to the operators at once: answers are late by as much.
 const LATE: Duration = Duration::from_millis(20);
+/// How long a request may take to come, at the least pace, that is taken before its last byte.
+const LONGEST_COMING: Duration = Duration::from_secs(20 * 60);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -53,6 +55,8 @@
     sent: Instant,
     underway: Rc<Underway>,
     task: AbortHandle,
+    /// When its answer began to be passed on, counted from when it was sent: from then on it is the client's.
+    passing: Option<Duration>,
 }
 
 /// A request that is owed an answer or has an attempt out.
@@ -60,6 +64,8 @@
     answer: Option<oneshot::Sender<Answer>>,
     message: Rc<Message>,
     deadline: Instant,
+    /// Its time, counted from its last byte, while that is yet to come.
+    coming: Option<Duration>,
     attempts: usize,
     out: Option<Out>,
 }
@@ -298,13 +304,15 @@
         }
         let number = self.next_request.get();
         self.next_request.set(number + 1);
-        let deadline = arrived + time.saturating_sub(MARGIN);
+        let coming = Some(time).filter(|_| matches!(message.body, Asking::Passing(_)));
+        let deadline = arrived + coming.map_or(time, |_| LONGEST_COMING).saturating_sub(MARGIN);
         let (answer, answered) = oneshot::channel();
         let message = Rc::new(message);
-        let open = Open { answer: Some(answer), message, deadline, attempts: 0, out: None };
+        let open = Open { answer: Some(answer), message, deadline, coming, attempts: 0, out: None };
         self.open.borrow_mut().insert(number, open);
         self.wake_at(deadline, Due::Deadline(number));
-        let budget_ms = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
+        let budget = coming.unwrap_or_else(|| deadline.saturating_duration_since(Instant::now()));
+        let budget_ms = budget.as_secs_f64() * 1e3;
         self.feed(Event::Request(Request { id: RequestId(number), class, tenant, item, budget_ms }));
         Some(Taken { driver: Rc::clone(self), number, answered })
     }
@@ -348,27 +356,59 @@
         let Some(request) = open.get_mut(&number) else { return };
         let (attempt, now) = (request.attempts, Instant::now());
         request.attempts += 1;
-        // Guards the rules whatever the balancer says: no send for a request that is over, none beyond the
-        // attempts allowed, and never two at once.
-        let over = request.answer.is_none() || now >= request.deadline;
+        // Guards the rules whatever the balancer says: no send for a request that is over or of which a part is
+        // gone, none beyond the attempts allowed, and never two at once.
+        let over = request.answer.is_none() || now >= request.deadline || !request.message.can_go();
         if over || attempt >= self.max_attempts || request.out.is_some() {
             drop(open);
             return self.outcome(number, attempt, Duration::ZERO, Ending::NotSent.into());
         }
         let message = Rc::clone(&request.message);
-        let attempting = Rc::clone(&self.servers).attempt(server, message, request.deadline);
+        let deadline = request.coming.map_or(request.deadline, |time| now + time);
+        let driver = Rc::clone(self);
+        let begin = move |served| driver.begun(number, attempt, served);
+        let attempting = Rc::clone(&self.servers).attempt(server, message, deadline, begin);
         let underway = Rc::new(Underway::new(attempting));
         let (driver, held) = (Rc::clone(self), Rc::clone(&underway));
         let task = tokio::task::spawn_local(async move {
             let ended = held.ended().await;
             driver.ended(number, attempt, ended);
         });
-        request.out = Some(Out { number: attempt, sent: now, underway, task: task.abort_handle() });
+        let task = task.abort_handle();
+        request.out = Some(Out { number: attempt, sent: now, underway, task, passing: None });
+    }
+
+    /// The last byte of a request has come that was taken before.
+    fn is_whole(&self, number: u64, arrived: Instant) {
+        let mut open = self.open.borrow_mut();
+        let Some(request) = open.get_mut(&number) else { return };
+        let Some(time) = request.coming.take() else { return };
+        self.due.borrow_mut().remove(&(request.deadline, Due::Deadline(number)));
+        request.deadline = arrived + time.saturating_sub(MARGIN);
+        // What its server takes counts from here, too: until now it waited for the client.
+        if let Some(out) = &mut request.out {
+            out.sent = arrived;
+        }
+        self.wake_at(request.deadline, Due::Deadline(number));
+    }
+
+    /// An answer begins that is passed on as it comes.
+    fn begun(self: &Rc<Self>, number: u64, attempt: usize, served: Served) {
+        {
+            let mut open = self.open.borrow_mut();
+            let Some(request) = open.get_mut(&number) else { return };
+            let Some(out) = request.out.as_mut().filter(|out| out.number == attempt) else { return };
+            out.passing = Some(out.sent.elapsed());
+            if let Some(answer) = request.answer.take() {
+                let _ = answer.send(Answer::Served(served)); // A client that has left takes nothing.
+            }
+        }
+        self.feed(Event::StreamStarted { request: RequestId(number), attempt });
     }
 
     /// An attempt came to its own end.
     fn ended(self: &Rc<Self>, number: u64, attempt: usize, mut ended: Ended) {
-        let sent = {
+        let elapsed = {
             let mut open = self.open.borrow_mut();
             let Some(request) = open.get_mut(&number) else { return };
             let Some(out) = request.out.take_if(|out| out.number == attempt) else { return };
@@ -377,9 +417,9 @@
             {
                 let _ = answer.send(Answer::Served(served)); // A client that has left is an event of its own.
             }
-            out.sent
+            out.passing.unwrap_or_else(|| out.sent.elapsed())
         };
-        self.outcome(number, attempt, sent.elapsed(), ended);
+        self.outcome(number, attempt, elapsed, ended);
     }
 
     fn outcome(self: &Rc<Self>, number: u64, attempt: usize, elapsed: Duration, ended: Ended) {
@@ -395,11 +435,14 @@
         }));
     }
 
-    /// Gives up the attempt that is out; its connection is closed when this returns.
+    /// Gives up the attempt that is out; its connection is closed when this returns. One whose answer is being passed on
+    /// stays.
     fn give_up(&self, number: u64, attempt: Option<usize>) -> Option<Out> {
         let mut open = self.open.borrow_mut();
         let out = &mut open.get_mut(&number)?.out;
-        let out = out.take_if(|out| attempt.is_none_or(|attempt| out.number == attempt))?;
+        let may_go =
+            |out: &mut Out| out.passing.is_none() && attempt.is_none_or(|wanted| out.number == wanted);
+        let out = out.take_if(may_go)?;
         out.task.abort();
         out.underway.close();
         Some(out)
@@ -519,8 +562,15 @@
 }
 
 impl Taken {
+    /// Its last byte has come, where it was taken without.
+    pub fn is_whole(&self, arrived: Instant) {
+        self.driver.is_whole(self.number, arrived);
+    }
+
     /// Waits for the final answer.
-    pub async fn answer(mut self) -> Answer {
+    ///
+    /// It comes once; dropping this midway loses nothing.
+    pub async fn answer(&mut self) -> Answer {
         (&mut self.answered).await.unwrap_or(Answer::Failed)
     }
 }
--- a/src/net/http1/exchange.rs
+++ b/src/net/http1/exchange.rs
@@ -7,32 +7,40 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
+use passage::answer_stall_ms;
 use pool::{Broke, Closed};
 
-use super::super::answers::{ending, read_report, Room, MOST_BODY, MOST_LARGE};
-use super::super::back::{Broken, Ended, Message, Served};
+use super::super::answers::{ending, read_report, MOST_BODY, MOST_PASSED};
+use super::super::back::{Answering, Broken, Ended, Message, Served};
 use super::super::log;
+use super::super::passing::{passing, Cut, Feeder, Passing};
 use super::super::stream::Stream;
-use super::metered::{Metered, Traffic, ANSWER_STALL};
+use super::metered::{Metered, Traffic, SEND_STALL};
+use super::sending::Sending;
 use crate::Ending;
 
 /// The most of a message's head that is read, and of a body that is read at a time.
 const BUFFER: usize = 32 * 1024;
+/// What a chunk of one byte has on the wire, its own lines with it, in bytes.
+const CHUNKED: usize = 6;
+/// How long a server may write nothing of an answer that is being passed on: nobody else can give its rest, so it is
+/// waited for far longer than one that another server could give.
+const PASSING_STALL: Duration = Duration::from_secs(5);
 const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
 
-type Driven = Pin<Box<Connection<TokioIo<Metered>, Full<Bytes>>>>;
+type Driven = Pin<Box<Connection<TokioIo<Metered>, Sending>>>;
 
 /// A connection that speaks HTTP/1.1.
 pub struct Conn {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Sending>,
     /// hyper's half that holds the socket, until it has ended.
     connection: Option<Driven>,
     traffic: Rc<Traffic>,
@@ -75,12 +83,15 @@
     /// No answer's head was had.
     pub async fn exchange(
         &mut self,
-        message: &Message,
+        message: &Rc<Message>,
         left: Duration,
-        large: &Room,
+        begin: &dyn Fn(Served),
     ) -> Result<Ended, Broken> {
+        let stall = Duration::from_secs_f64(answer_stall_ms(left.as_secs_f64() * 1e3) / 1e3);
         self.traffic.begin(&message.sent);
-        let answer = self.sender.send_request(request(message, left));
+        let body = Sending::new(message, &self.traffic);
+        let send_stall = if body.is_held() { stall.max(SEND_STALL) } else { PASSING_STALL };
+        let answer = self.sender.send_request(request(message, left, body));
         let answer = tokio::select! {
             biased;
             answer = drive(&mut self.connection, &self.traffic, answer) => answer.map_err(|error| {
@@ -91,13 +102,13 @@
                     Broke::Connection
                 }
             }),
-            broke = self.traffic.stalls() => {
+            broke = self.traffic.stalls(stall, send_stall) => {
                 log::line("a server's answer, or the request to it, does not go on");
                 Err(broke)
             }
         };
         match answer {
-            Ok(answer) => Ok(self.read(answer, large).await),
+            Ok(answer) => Ok(self.read(answer, stall, begin).await),
             Err(broke) => {
                 self.connection = None;
                 let is_odd = self.traffic.is_odd() || broke == Broke::Answer;
@@ -106,63 +117,143 @@
         }
     }
 
-    async fn read(&mut self, answer: Response<Incoming>, large: &Room) -> Ended {
+    async fn read(&mut self, answer: Response<Incoming>, stall: Duration, begin: &dyn Fn(Served)) -> Ended {
         let (head, body) = answer.into_parts();
         let report = head.headers.get("srv-load").and_then(read_report);
         let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
-        let body = self.read_body(&head, body, large).await;
-        if body.is_err() {
+        let ending = ending(head.status, declined);
+        let content_type = head.headers.get(CONTENT_TYPE).cloned();
+        let served = |body| Served { status: head.status, body, content_type: content_type.clone() };
+        let begin = |passing| begin(served(Answering::Passing(passing)));
+        let begin: Option<&dyn Fn(Passing)> = if ending == Ending::Served { Some(&begin) } else { None };
+        let read = self.read_body(&head, body, stall, begin).await;
+        if read.is_err() {
             self.connection = None;
         }
-        let (ending, body) = match (ending(head.status, declined), body) {
-            (Ending::Served, Err(Broke::Connection)) => (Ending::Reset, None),
-            (Ending::Served, Err(_)) => (Ending::Spoilt, None),
-            (Ending::Served, Ok(body)) => (Ending::Served, Some(body)),
-            (Ending::Rejected, body) => (Ending::Rejected, Some(body.unwrap_or_default())),
+        let (ending, body) = match (ending, read) {
+            (Ending::Served, Err(Cut::Broke(Broke::Connection))) => (Ending::Reset, None),
+            (Ending::Served, Err(Cut::Broke(_))) => (Ending::Spoilt, None),
+            (Ending::Served, Err(Cut::ClientLeft)) => (Ending::Cancelled, None),
+            (Ending::Served, Ok(body)) => (Ending::Served, body),
+            (Ending::Rejected, read) => (Ending::Rejected, Some(read.ok().flatten().unwrap_or_default())),
             (ending, _) => (ending, None),
         };
-        let content_type = head.headers.get(CONTENT_TYPE).cloned();
-        let served = body.map(|body| Served { status: head.status, body, content_type });
-        Ended { ending, report, served }
+        Ended { ending, report, served: body.map(|body| served(Answering::Whole(body))) }
     }
 
-    /// Reads an answer's body. Guards against one that is too large, stops short or has no end.
-    async fn read_body(&mut self, head: &Parts, body: Incoming, large: &Room) -> Result<Bytes, Broke> {
-        let size = body.size_hint();
+    /// Reads an answer's body, as far as it can be held; one that is longer is passed on, where `begin` is given, and
+    /// nothing of it is left to return. Guards against one that stops short, has no end or is beyond all bounds.
+    async fn read_body(
+        &mut self,
+        head: &Parts,
+        mut body: Incoming,
+        stall: Duration,
+        begin: Option<&dyn Fn(Passing)>,
+    ) -> Result<Option<Bytes>, Cut> {
+        let told = body.size_hint().exact();
         // Only the end of the connection shows the end of a body of no stated length, and it must have been announced.
         let chunked = head.headers.contains_key(TRANSFER_ENCODING);
         let closes =
             head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-        let endless = size.exact().is_none() && !chunked && !closes;
-        let told = usize::try_from(size.exact().unwrap_or(0)).unwrap_or(usize::MAX);
-        let share = if told > MOST_BODY { large.take(told) } else { None };
-        if endless || told > MOST_LARGE || (told > MOST_BODY && share.is_none()) {
+        let endless = told.is_none() && !chunked && !closes && head.version != Version::HTTP_10;
+        if endless || told.is_some_and(|told| told > MOST_PASSED as u64) {
             log::line("a server's answer is too large or does not tell its length");
-            return Err(Broke::Answer);
+            return Err(Cut::Broke(Broke::Answer));
+        }
+        if chunked {
+            self.traffic.allow(CHUNKED * MOST_BODY);
         }
-        self.traffic.allow(share.as_ref().map_or(0, |share| share.bytes()));
-        let whole = tokio::time::timeout(ANSWER_STALL, Limited::new(body, told.max(MOST_BODY)).collect());
-        match drive(&mut self.connection, &self.traffic, whole).await {
-            Ok(Ok(body)) => {
-                let body = body.to_bytes();
-                Ok(match share {
-                    Some(share) => share.hold(body),
-                    None => body,
-                })
+        let is_long = told.is_some_and(|told| told > MOST_BODY as u64);
+        let mut held = Held::default();
+        loop {
+            let Some(piece) = self.piece(&mut body, stall).await? else { return Ok(Some(held.whole())) };
+            if !is_long && held.len() + piece.len() <= MOST_BODY {
+                held.push(piece);
+                continue;
             }
-            Ok(Err(error))
-                if error.downcast_ref::<hyper::Error>().is_some_and(|e| e.is_incomplete_message()) =>
-            {
-                Err(Broke::Connection)
+            let begin = begin.ok_or(Cut::Broke(Broke::Answer))?;
+            let (feeder, passing) = passing(told);
+            begin(passing);
+            let first = [held.whole(), piece];
+            return self.pass_on(feeder, first, body).await.map(|()| None);
+        }
+    }
+
+    async fn pass_on(&mut self, feeder: Feeder, first: [Bytes; 2], mut body: Incoming) -> Result<(), Cut> {
+        self.traffic.allow(CHUNKED * MOST_PASSED);
+        let mut passed = 0;
+        for piece in first {
+            passed += piece.len();
+            feeder.feed(piece).await?;
+        }
+        while let Some(piece) = self.piece(&mut body, PASSING_STALL).await? {
+            passed += piece.len();
+            if passed > MOST_PASSED {
+                log::line("a server's answer does not end");
+                return Err(Cut::Broke(Broke::Answer));
             }
-            _ => {
-                log::line("a server's answer is too large, malformed or does not go on");
-                Err(Broke::Answer)
+            feeder.feed(piece).await?;
+        }
+        feeder.end().await
+    }
+
+    /// The next piece of a body, or its end.
+    async fn piece(&mut self, body: &mut Incoming, stall: Duration) -> Result<Option<Bytes>, Cut> {
+        loop {
+            let frame = tokio::time::timeout(stall, body.frame());
+            match drive(&mut self.connection, &self.traffic, frame).await {
+                Ok(None) => return Ok(None),
+                Ok(Some(Ok(frame))) => {
+                    // Trailers are no part of the answer that its client is given.
+                    if let Ok(piece) = frame.into_data() {
+                        return Ok(Some(piece));
+                    }
+                }
+                Ok(Some(Err(error))) if error.is_incomplete_message() => {
+                    return Err(Cut::Broke(Broke::Connection));
+                }
+                _ => {
+                    log::line("a server's answer is malformed or does not go on");
+                    return Err(Cut::Broke(Broke::Answer));
+                }
             }
         }
     }
 }
 
+/// A body as far as it is held.
+#[derive(Default)]
+struct Held {
+    first: Bytes,
+    /// All of it, once it has come in more than one piece.
+    joined: BytesMut,
+}
+
+impl Held {
+    fn len(&self) -> usize {
+        self.first.len().max(self.joined.len())
+    }
+
+    fn push(&mut self, piece: Bytes) {
+        if self.len() == 0 {
+            self.first = piece;
+            return;
+        }
+        if self.joined.is_empty() {
+            self.joined.extend_from_slice(&std::mem::take(&mut self.first));
+        }
+        self.joined.extend_from_slice(&piece);
+    }
+
+    fn whole(&mut self) -> Bytes {
+        if self.joined.is_empty() {
+            std::mem::take(&mut self.first)
+        } else {
+            std::mem::take(&mut self.joined).freeze()
+        }
+    }
+}
+
 /// Lets a connection go on; one that has ended is closed.
 fn poll(connection: &mut Option<Driven>, traffic: &Traffic, cx: &mut Context<'_>) {
     let Some(driven) = connection else { return };
@@ -199,8 +290,8 @@
     Some(&text[..used])
 }
 
-fn request(message: &Message, left: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(message.body.clone()));
+fn request(message: &Message, left: Duration, body: Sending) -> Request<Sending> {
+    let mut request = Request::new(body);
     *request.method_mut() = message.method.clone();
     *request.uri_mut() = message.uri.clone();
     *request.headers_mut() = message.headers.clone();
--- a/src/net/http1/mod.rs
+++ b/src/net/http1/mod.rs
@@ -2,5 +2,6 @@
 
 mod exchange;
 mod metered;
+mod sending;
 
 pub use exchange::Conn;
--- /dev/null
+++ b/src/net/http1/sending.rs
@@ -0,0 +1,83 @@
+//! The body of a request on its way to a server.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+
+use super::super::back::{Asking, Message};
+use super::super::passing::{Passing, Unfinished};
+use super::metered::Traffic;
+
+/// The body as one attempt sends it. What follows the beginning is taken once it is asked for, and then no other attempt
+/// can have it.
+pub struct Sending {
+    message: Rc<Message>,
+    traffic: Rc<Traffic>,
+    first: Option<Bytes>,
+    rest: Option<Passing>,
+    told: Option<u64>,
+}
+
+impl Sending {
+    /// The body of a message, on a connection with this traffic.
+    #[must_use]
+    pub fn new(message: &Rc<Message>, traffic: &Rc<Traffic>) -> Self {
+        let (first, told) = match &message.body {
+            Asking::Whole(body) => (body.clone(), Some(body.len() as u64)),
+            Asking::Passing(upload) => {
+                traffic.expect_more();
+                (upload.first(), upload.told())
+            }
+        };
+        let first = Some(first).filter(|first| !first.is_empty());
+        Self { message: Rc::clone(message), traffic: Rc::clone(traffic), first, rest: None, told }
+    }
+
+    /// Whether all of it is here.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        matches!(self.message.body, Asking::Whole(_))
+    }
+
+    fn is_out(&mut self) {
+        self.traffic.expect_no_more();
+    }
+}
+
+impl Body for Sending {
+    type Data = Bytes;
+    type Error = Unfinished;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Unfinished>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        let message = Rc::clone(&self.message);
+        let Asking::Passing(upload) = &message.body else { return Poll::Ready(None) };
+        if self.rest.is_none() {
+            self.rest = upload.take_rest();
+        }
+        let Some(rest) = &mut self.rest else { return Poll::Ready(Some(Err(Unfinished))) };
+        let frame = ready!(rest.poll(cx));
+        // Nobody asks for the end of a body whose length has come.
+        let is_last = frame.is_none() || rest.left() == Some(0);
+        if is_last {
+            self.is_out();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.is_held() && self.first.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.told.map(SizeHint::with_exact).unwrap_or_default()
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,6 +25,7 @@
 mod log;
 pub mod members;
 pub mod operators;
+mod passing;
 mod places;
 mod reload;
 mod roster;
@@ -144,7 +145,7 @@
     let (phase, phases) = watch::channel(Phase::Serving);
     let longest = driver.names.rules.iter().map(|rule| rule.longest).max().unwrap_or_default();
     let most = config.limits.client_connections();
-    let entrance = Entrance { is_shared, ..Entrance::own(phases, most) };
+    let entrance = Entrance { is_shared, room: config.limits.long_requests(), ..Entrance::own(phases, most) };
     if let Some(address) = config.control {
         let listener = TcpListener::bind(address).await.map_err(system("listen for operators"))?;
         let at = listener.local_addr().map_err(system("listen for operators"))?;
--- /dev/null
+++ b/src/net/passing.rs
@@ -0,0 +1,318 @@
+//! The body of a message that is passed on as it comes: one hand feeds what one peer writes, the other is what the
+//! other peer is written. A piece is in between at a time, so neither side gets ahead of the other by more.
+
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::Full;
+use pool::Broke;
+use tokio::sync::mpsc;
+
+/// Why a body that was being read came to no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// It broke.
+    Broke(Broke),
+    /// It was being passed on, and its client takes no more.
+    ClientLeft,
+}
+
+/// The body that a client is written was cut: its client must be able to tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unfinished;
+
+impl std::fmt::Display for Unfinished {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the server's answer came to no end")
+    }
+}
+
+impl std::error::Error for Unfinished {}
+
+enum Piece {
+    Data(Bytes),
+    /// A sender that is dropped says nothing of the end: the body may be cut.
+    End,
+}
+
+/// The hand that feeds.
+pub struct Feeder(mpsc::Sender<Piece>);
+
+/// The hand that is read.
+#[derive(Debug)]
+pub struct Passing {
+    pieces: mpsc::Receiver<Piece>,
+    /// How many bytes are to come, where that is told.
+    left: Option<u64>,
+}
+
+/// A body that is passed on, of which the beginning is kept: while no more of it has been asked for, it can be begun anew.
+#[derive(Debug)]
+pub struct Upload {
+    first: Bytes,
+    rest: RefCell<Option<Passing>>,
+}
+
+impl Upload {
+    /// A body that begins so.
+    #[must_use]
+    pub fn new(first: Bytes, rest: Passing) -> Self {
+        Self { first, rest: RefCell::new(Some(rest)) }
+    }
+
+    /// Whether a part of it is gone with an attempt that failed.
+    #[must_use]
+    pub fn is_spent(&self) -> bool {
+        self.rest.borrow().is_none()
+    }
+
+    /// How long it is, where that is told and none of it has gone.
+    #[must_use]
+    pub fn told(&self) -> Option<u64> {
+        let left = self.rest.borrow().as_ref()?.left()?;
+        Some(left + self.first.len() as u64)
+    }
+
+    /// Its beginning.
+    #[must_use]
+    pub fn first(&self) -> Bytes {
+        self.first.clone()
+    }
+
+    /// What follows the beginning; whoever has it is the last to send the body.
+    #[must_use]
+    pub fn take_rest(&self) -> Option<Passing> {
+        self.rest.borrow_mut().take()
+    }
+}
+
+/// Both hands of a body of the length that is told.
+#[must_use]
+pub fn passing(told: Option<u64>) -> (Feeder, Passing) {
+    let (sender, pieces) = mpsc::channel(1);
+    (Feeder(sender), Passing { pieces, left: told })
+}
+
+impl Feeder {
+    /// Hands on a piece, once the one before is taken.
+    ///
+    /// # Errors
+    ///
+    /// The client takes no more.
+    pub async fn feed(&self, piece: Bytes) -> Result<(), Cut> {
+        if piece.is_empty() {
+            return Ok(());
+        }
+        self.0.send(Piece::Data(piece)).await.map_err(|_| Cut::ClientLeft)
+    }
+
+    /// The body is whole.
+    ///
+    /// # Errors
+    ///
+    /// The client took no more.
+    pub async fn end(self) -> Result<(), Cut> {
+        // A reader that was told the length needs no word of the end, and may have gone.
+        let _ = self.0.send(Piece::End).await;
+        Ok(())
+    }
+}
+
+impl Passing {
+    /// How many bytes are to come, where that is told.
+    #[must_use]
+    pub fn left(&self) -> Option<u64> {
+        self.left
+    }
+
+    /// Whether all that was told has been read.
+    fn is_through(&self) -> bool {
+        self.left == Some(0)
+    }
+
+    /// The next piece, or the end. An error tells that it was cut.
+    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Unfinished>>> {
+        let piece = std::task::ready!(self.pieces.poll_recv(cx));
+        Poll::Ready(match piece {
+            Some(Piece::Data(data)) => {
+                let left = self.left.map(|left| left.checked_sub(data.len() as u64));
+                if left == Some(None) {
+                    return Poll::Ready(Some(Err(Unfinished)));
+                }
+                self.left = left.flatten();
+                Some(Ok(Frame::data(data)))
+            }
+            Some(Piece::End) if self.left.is_none_or(|left| left == 0) => None,
+            Some(Piece::End) | None => Some(Err(Unfinished)),
+        })
+    }
+}
+
+/// How a body that was passed on ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passed {
+    /// All of it has gone to the client's connection.
+    Whole,
+    /// The server gave no more.
+    Cut,
+    /// The client left.
+    Left,
+}
+
+/// The body of an answer to a client.
+pub enum Outgoing {
+    /// It is here.
+    Whole(Full<Bytes>),
+    /// It is passed on; whoever wants to know is told how that ended.
+    Passing(Passing, Option<Box<dyn FnOnce(Passed)>>),
+}
+
+impl Outgoing {
+    /// A body that is here.
+    #[must_use]
+    pub fn whole(body: Bytes) -> Self {
+        Self::Whole(Full::new(body))
+    }
+
+    /// One that is passed on; `ended` is told the end.
+    #[must_use]
+    pub fn passing(body: Passing, ended: impl FnOnce(Passed) + 'static) -> Self {
+        Self::Passing(body, Some(Box::new(ended)))
+    }
+
+    /// Text of the node's own.
+    #[must_use]
+    pub fn text(text: &'static str) -> Self {
+        Self::whole(Bytes::from_static(text.as_bytes()))
+    }
+
+    fn tell(&mut self, how: Passed) {
+        if let Self::Passing(_, ended) = self {
+            if let Some(ended) = ended.take() {
+                ended(how);
+            }
+        }
+    }
+}
+
+impl Drop for Outgoing {
+    /// Where the length is told, nobody asks for more once it has come.
+    fn drop(&mut self) {
+        if let Self::Passing(passing, _) = self {
+            let how = if passing.is_through() { Passed::Whole } else { Passed::Left };
+            self.tell(how);
+        }
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Unfinished;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Unfinished>>> {
+        let frame = match &mut *self {
+            Self::Whole(body) => {
+                let frame = std::task::ready!(Pin::new(body).poll_frame(cx));
+                return Poll::Ready(frame.map(|frame| frame.map_err(|never| match never {})));
+            }
+            Self::Passing(passing, _) => std::task::ready!(passing.poll(cx)),
+        };
+        match &frame {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => self.tell(Passed::Cut),
+            None => self.tell(Passed::Whole),
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Passing(..) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Passing(passing, _) => passing.left.map(SizeHint::with_exact).unwrap_or_default(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+    use std::rc::Rc;
+
+    use http_body_util::BodyExt;
+
+    fn outgoing(told: Option<u64>) -> (Feeder, Outgoing, Rc<Cell<Option<Passed>>>) {
+        let (feeder, passing) = passing(told);
+        let how = Rc::<Cell<Option<Passed>>>::default();
+        let tell = Rc::clone(&how);
+        (feeder, Outgoing::passing(passing, move |end| tell.set(Some(end))), how)
+    }
+
+    /// Guards against a client that takes a part of an answer for all of it.
+    #[tokio::test]
+    async fn an_answer_that_is_cut_has_no_end_for_its_client() {
+        for told in [None, Some(4), Some(2)] {
+            let (feeder, mut outgoing, how) = outgoing(told);
+            feeder.feed(Bytes::from_static(b"ab")).await.expect("it is read");
+            assert!(outgoing.frame().await.expect("a piece").is_ok());
+            drop(feeder);
+            assert_eq!(outgoing.frame().await.expect("an error").err(), Some(Unfinished), "{told:?}");
+            assert_eq!(how.get(), Some(Passed::Cut));
+        }
+        // More or less than was told is cut, too.
+        for pieces in [&b"abc"[..], b"a"] {
+            let (feeder, mut outgoing, how) = outgoing(Some(2));
+            feeder.feed(Bytes::from_static(pieces)).await.expect("it is read");
+            let fed = tokio::spawn(feeder.end());
+            let collected = (&mut outgoing).collect().await;
+            assert!(collected.is_err());
+            assert_eq!(how.get(), Some(Passed::Cut));
+            fed.await.expect("it ends").expect("in order");
+        }
+    }
+
+    #[tokio::test]
+    async fn a_whole_answer_is_told_so_however_its_end_is_seen() {
+        let (feeder, outgoing, how) = outgoing(None);
+        let feeding = async {
+            feeder.feed(Bytes::from_static(b"ab")).await.expect("it is read");
+            feeder.feed(Bytes::new()).await.expect("it is read");
+            feeder.end().await.expect("it is read");
+        };
+        let (body, ()) = tokio::join!(outgoing.collect(), feeding);
+        assert_eq!((body.expect("whole").to_bytes().as_ref(), how.get()), (&b"ab"[..], Some(Passed::Whole)));
+        // Nobody asks for the end of a body whose length has come.
+        let (feeder, mut outgoing, how) = self::outgoing(Some(2));
+        feeder.feed(Bytes::from_static(b"ab")).await.expect("it is read");
+        assert!(outgoing.frame().await.expect("a piece").is_ok());
+        drop(outgoing);
+        assert_eq!(how.get(), Some(Passed::Whole));
+        assert!(feeder.end().await.is_ok());
+    }
+
+    /// Guards against a server that is read on for a client that has left, and against memory that a slow client grows.
+    #[tokio::test(start_paused = true)]
+    async fn a_piece_waits_for_its_client_and_ends_with_it() {
+        let (feeder, outgoing, how) = outgoing(Some(9));
+        feeder.feed(Bytes::from_static(b"ab")).await.expect("there is room for one");
+        let second = feeder.feed(Bytes::from_static(b"cd"));
+        let waits = tokio::time::timeout(std::time::Duration::from_secs(60), second).await;
+        assert!(waits.is_err(), "and for no more");
+        drop(outgoing);
+        assert_eq!(how.get(), Some(Passed::Left));
+        assert_eq!(feeder.feed(Bytes::from_static(b"ef")).await, Err(Cut::ClientLeft));
+    }
+}
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -8,11 +8,11 @@
 use control::Stay;
 use tokio::sync::Notify;
 
-/// How long a client may take over a request, from its first byte (of the first on a connection: from connecting) to
-/// the last. Clients are in the same network and send a request as one; one that dawdles holds a place for nothing.
-pub const REQUEST_TIME: Duration = Duration::from_secs(2);
-/// How long a client may take to take its answer.
-const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// How long a client may take over a request's head, from its first byte (of the first on a connection: from
+/// connecting) to the last. Slow clients take 2 s; one that takes more holds a place for nothing.
+const HEAD_TIME: Duration = Duration::from_millis(2_400);
+/// How long a client may take nothing of its answer. Slow ones take seconds over one.
+const ANSWER_TIME: Duration = Duration::from_secs(5);
 /// How long a connection is kept from one request to the next: many clients never send another.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 /// How often the times are looked over.
@@ -50,6 +50,8 @@
     stage: Cell<Stage>,
     since: Cell<Instant>,
     asked: Cell<bool>,
+    /// Whether more of its answer is to come than has been written.
+    passing: Cell<bool>,
     leave: Notify,
 }
 
@@ -69,10 +71,23 @@
         self.asked.set(false);
     }
 
-    /// When its request must be whole.
-    #[must_use]
-    pub fn request_due(&self) -> Instant {
-        self.since.get() + REQUEST_TIME
+    /// Its client has taken some of what it is written.
+    pub fn goes_on(&self) {
+        if self.stage.get() == Stage::Answer {
+            self.since.set(Instant::now());
+        }
+    }
+
+    /// Whether more of its answer is to come than has been written.
+    pub fn set_passing(&self, passing: bool) {
+        self.passing.set(passing);
+    }
+
+    /// All that there was to write has gone out.
+    pub fn is_flushed(&self) {
+        if self.stage.get() == Stage::Answer && !self.passing.get() {
+            self.enter(Stage::Idle);
+        }
     }
 
     /// Waits until the connection should end. It may have gone on meanwhile: look at its stage again.
@@ -88,7 +103,7 @@
     fn may_stay(&self, stay: Stay) -> Duration {
         match self.stage.get() {
             Stage::Silent | Stage::Idle if stay == Stay::Leave => PROMPT,
-            Stage::Silent | Stage::Head => REQUEST_TIME,
+            Stage::Silent | Stage::Head => HEAD_TIME,
             Stage::Answer => ANSWER_TIME,
             Stage::Idle => IDLE_TIME,
             Stage::Request | Stage::Over => Duration::MAX,
@@ -138,6 +153,7 @@
             stage: Cell::new(Stage::Silent),
             since: Cell::new(Instant::now()),
             asked: Cell::new(false),
+            passing: Cell::new(false),
             leave: Notify::new(),
         });
         self.taken.borrow_mut().insert(number, Rc::clone(&place));
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -19,8 +19,7 @@
 use tokio::task::AbortHandle;
 
 use super::addresses::{routes, AllSaid};
-use super::answers::Room;
-use super::back::{Conn, Ended, Message};
+use super::back::{Conn, Ended, Message, Served};
 use super::clock::{Alarm, Clock};
 use super::config::Config;
 use super::log;
@@ -97,7 +96,6 @@
     holders: RefCell<Holders>,
     said: RefCell<AllSaid>,
     alarm: Alarm,
-    large: Room,
     cold_ms: f64,
     drain_grace: Duration,
     clock: Clock,
@@ -128,7 +126,6 @@
             holders: RefCell::default(),
             said: RefCell::new(said),
             alarm: Alarm::new(),
-            large: Room::new(config.limits.large_answers()),
             cold_ms: config.settings.cold_ms,
             drain_grace: config.drain_grace,
             clock,
@@ -338,12 +335,20 @@
         }
     }
 
-    /// Makes one attempt and tells how it ended; dropping it gives it up and closes its connection.
+    /// Makes one attempt and tells how it ended; dropping it gives it up and closes its connection. An answer that is too
+    /// long to be held goes to `begin` as it comes, and the attempt ends with its last byte.
     ///
     /// To whoever chose the server this is one attempt, whatever the addresses: only one exchange in it has ever had
     /// the request's last byte go out.
-    pub async fn attempt(self: Rc<Self>, at: ServerId, message: Rc<Message>, deadline: Instant) -> Ended {
+    pub async fn attempt(
+        self: Rc<Self>,
+        at: ServerId,
+        message: Rc<Message>,
+        deadline: Instant,
+        begin: impl Fn(Served),
+    ) -> Ended {
         let mut avoid = Vec::new();
+        let mut gone = Ending::NotSent;
         for _ in 0..MOST_TURNS {
             let mut lease = match self.take(at, &avoid).await {
                 Ok(lease) => lease,
@@ -353,18 +358,24 @@
                 }
                 Err(_) => return Ending::Unreachable.into(),
             };
+            if !message.can_go() {
+                return gone.into(); // A part of it is gone, and its last byte never went out.
+            }
             // The last look before anything is written: the list may have changed while the connection came up.
             let now = Instant::now();
             if !self.is_open(at) || now >= deadline {
                 return Ending::NotSent.into();
             }
-            match lease.exchange(&message, deadline - now).await {
+            match lease.exchange(&message, deadline - now, &begin).await {
                 Ok(ended) => {
                     lease.done(at);
                     return ended;
                 }
                 Err((Next::Again, _)) => {}
-                Err((Next::Elsewhere, by)) => avoid.extend(by),
+                Err((Next::Elsewhere, by)) => {
+                    avoid.extend(by);
+                    gone = Ending::Unreachable;
+                }
                 Err((Next::Reset, _)) => return Ending::Reset.into(),
                 Err((Next::Spoilt, _)) => return Ending::Spoilt.into(),
             }
@@ -411,12 +422,13 @@
     /// Makes the exchange. A connection that broke is closed, the pool is told, and by which address it went.
     async fn exchange(
         &mut self,
-        message: &Message,
+        message: &Rc<Message>,
         left: Duration,
+        begin: &dyn Fn(Served),
     ) -> Result<Ended, (Next, Option<RouteId>)> {
         self.is_begun = true;
         let Some(standing) = &mut self.standing else { return Err((Next::Again, None)) };
-        let exchanged = standing.conn.exchange(message, left, &self.servers.large).await;
+        let exchanged = standing.conn.exchange(message, left, begin).await;
         let age = standing.age;
         exchanged.map_err(|broken| {
             let next = judge(age, broken.sent, broken.broke);
@@ -475,6 +487,7 @@
     use std::pin::pin;
     use std::task::{Context, Waker};
 
+    use super::super::back::Asking;
     use bytes::Bytes;
     use hyper::{HeaderMap, Method, Uri};
 
@@ -483,7 +496,7 @@
             method: Method::GET,
             uri: Uri::from_static("/api"),
             headers: HeaderMap::new(),
-            body: Bytes::new(),
+            body: Asking::Whole(Bytes::new()),
             sent: control::Counter::default(),
         })
     }
@@ -513,7 +526,7 @@
         let host = Host { address: Some(address), ..Host::named("s-0") };
         servers.update(&[(ServerId(0), &host)]);
         let deadline = Instant::now() + Duration::from_secs(60);
-        let mut attempt = pin!(Rc::clone(&servers).attempt(ServerId(0), message(), deadline));
+        let mut attempt = pin!(Rc::clone(&servers).attempt(ServerId(0), message(), deadline, |_| ()));
         let begun = attempt.as_mut().poll(&mut Context::from_waker(Waker::noop()));
         assert!(begun.is_pending(), "it is on its way");
         servers.update(&[(ServerId(0), &Host { state: State::Draining, ..host })]);
@@ -540,7 +553,8 @@
         servers.update(&[(ServerId(0), &host)]);
         let deadline = Instant::now() + Duration::from_secs(60);
         for turns in 0..40 {
-            let underway = Underway::new(Rc::clone(&servers).attempt(ServerId(0), message(), deadline));
+            let underway =
+                Underway::new(Rc::clone(&servers).attempt(ServerId(0), message(), deadline, |_| ()));
             for _ in 0..turns {
                 let mut ended = pin!(underway.ended());
                 let _ = ended.as_mut().poll(&mut Context::from_waker(Waker::noop()));
@@ -585,11 +599,11 @@
             )]));
             servers.update(&[(ServerId(0), &Host::named("s-0"))]);
             // More than the system takes for a connection whose other end reads nothing.
-            let body = Bytes::from(vec![b'x'; 32 << 20]);
+            let body = Asking::Whole(Bytes::from(vec![b'x'; 32 << 20]));
             let message =
                 Rc::new(Message { method: Method::POST, body, ..Rc::into_inner(message()).expect("one") });
             let deadline = Instant::now() + Duration::from_secs(60);
-            let attempt = Rc::clone(&servers).attempt(ServerId(0), message, deadline);
+            let attempt = Rc::clone(&servers).attempt(ServerId(0), message, deadline, |_| ());
             let ended = tokio::time::timeout(Duration::from_secs(20), attempt).await.expect("it goes on");
             assert_eq!((ended.ending, up.count()), (Ending::Served, 1), "{kind:?}, closes: {closes}");
         }
--- /dev/null
+++ b/tests/long.rs
@@ -0,0 +1,253 @@
+//! Messages that are longer than a node holds, and peers that are slow, over loopback sockets.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use testkit::*;
+
+/// Far more than a node may keep of one message.
+const LONG: usize = 24 << 20;
+/// What a node's memory may grow by while one passes: its own buffers on both sides, several times over.
+const MOST_GROWTH_KB: u64 = 8 << 10;
+
+/// A node with an address for operators and these servers.
+fn node(servers: &[&Server]) -> (Node, Discovery) {
+    let discovery = Discovery::start();
+    let entries: Vec<_> =
+        servers.iter().enumerate().map(|(i, server)| server.entry(&format!("s-{i}"), "ready")).collect();
+    let text = config(discovery.address, &list(1, true, &entries), &settings(60_000));
+    (Node::start(&text.replace("\"listen\"", "\"control\":\"127.0.0.1:0\",\"listen\"")), discovery)
+}
+
+/// The most memory that a process has had, in KiB.
+fn peak_kb(node: &Node) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node.process())).expect("a process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+fn long_body() -> Vec<u8> {
+    (0..LONG).map(|at| (at / 7 % 251) as u8).collect()
+}
+
+fn chunked(body: &[u8], piece: usize) -> Vec<u8> {
+    let mut text = Vec::new();
+    for chunk in body.chunks(piece) {
+        text.extend(format!("{:x}\r\n", chunk.len()).bytes());
+        text.extend(chunk);
+        text.extend(b"\r\n");
+    }
+    text.extend(b"0\r\n\r\n");
+    text
+}
+
+fn told(body: &[u8]) -> Vec<u8> {
+    [format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes(), body].concat()
+}
+
+fn with_body(head: &str, body: &[u8]) -> Vec<u8> {
+    [head.as_bytes(), body].concat()
+}
+
+fn upload_head(id: &str, length: usize) -> String {
+    post(id, "pay", "", "").replace("Content-Length: 0", &format!("Content-Length: {length}"))
+}
+
+/// Guards the limit on memory, and the whole of what is passed on, told or chunked.
+#[test]
+fn a_long_answer_passes_whole_and_is_not_held() {
+    let body = long_body();
+    let answers = [
+        told(&body),
+        [&b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"[..], &chunked(&body, 9_999)].concat(),
+    ];
+    for answer in answers {
+        let server = Server::start(move |_| Reply::Say(answer.clone())).quiet();
+        let (node, _discovery) = node(&[&server]);
+        let before = peak_kb(&node);
+        let mut client = node.connect();
+        for id in ["a", "b"] {
+            client.send(&read(id, "60000m"));
+            let served = client.answer().expect("all of it");
+            assert_eq!((served.status(), served.body.len()), (200, LONG));
+            assert!(served.body == body, "it is the same");
+        }
+        assert!(peak_kb(&node) - before < MOST_GROWTH_KB, "{} to {} KiB", before, peak_kb(&node));
+        assert_eq!((server.count(), server.opened()), (2, 1), "the connection is used again");
+        until("both are counted", || node.figure("served.read") == 2);
+    }
+}
+
+#[test]
+fn a_long_request_passes_whole_and_is_not_held() {
+    let body = long_body();
+    for is_chunked in [false, true] {
+        let expected = body.clone();
+        let server = Server::start(move |request| Reply::ok(&(request.body == expected).to_string())).quiet();
+        let (node, _discovery) = node(&[&server]);
+        let before = peak_kb(&node);
+        let head = upload_head("a", LONG);
+        let request = match is_chunked {
+            false => with_body(&head, &body),
+            true => {
+                let head = head.replace(&format!("Content-Length: {LONG}"), "Transfer-Encoding: chunked");
+                with_body(&head, &chunked(&body, 50_000))
+            }
+        };
+        let mut stream = TcpStream::connect(node.address).expect("it listens");
+        stream.write_all(&request).expect("it is taken");
+        let served = Message::read(&mut std::io::BufReader::new(stream)).expect("an answer");
+        assert_eq!((served.status(), served.body.as_slice()), (200, &b"true"[..]));
+        assert!(peak_kb(&node) - before < MOST_GROWTH_KB, "{} to {} KiB", before, peak_kb(&node));
+        assert_eq!(node.figure("attempts.pay"), 1);
+    }
+}
+
+/// Guards against an answer that is held back until all of it has come.
+#[test]
+fn the_first_bytes_of_a_long_answer_are_not_held_back() {
+    let (first, rest) = (vec![b'a'; 100_000], vec![b'b'; 100_000]);
+    let head = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n";
+    let now = [&head[..], &first].concat();
+    let wait = Duration::from_secs(2);
+    let server = Server::start(move |_| Reply::SayThen(now.clone(), wait, rest.clone()));
+    let (node, _discovery) = node(&[&server]);
+    let mut stream = TcpStream::connect(node.address).expect("it listens");
+    let start = Instant::now();
+    stream.write_all(read("a", "60000m").as_bytes()).expect("an open connection");
+    stream.read_exact(&mut vec![0; 60_000]).expect("the first bytes");
+    assert!(start.elapsed() < wait, "{:?}", start.elapsed());
+    assert_eq!(node.figure("in_flight"), 1, "it has not ended");
+    let mut rest = vec![0; 140_000];
+    stream.read_exact(&mut rest).expect("and the others");
+    assert!(rest.ends_with(&[b'b'; 90_000]));
+}
+
+/// Guards against a part that is taken for the whole, and against a second copy of what may have run.
+#[test]
+fn a_long_answer_that_is_cut_has_failed_and_its_client_can_tell() {
+    let part = vec![b'a'; 200_000];
+    let told = [&b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n"[..], &part].concat();
+    let head = &b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n"[..];
+    let unended = [head, &part, b"\r\n"].concat();
+    for cut in [told, unended] {
+        let server = Server::start(move |_| Reply::SayAndClose(cut.clone()));
+        let (node, _discovery) = node(&[&server]);
+        let mut client = node.connect();
+        client.send(&read("a", "60000m"));
+        assert!(client.answer().is_none(), "its end does not come");
+        until("it is counted", || node.figure("failed.read") == 1);
+        assert_eq!((server.count(), node.figure("in_flight")), (1, 0));
+        assert_eq!(node.ask(UP).status(), 200);
+    }
+}
+
+const UP: &str = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Guards against cutting off peers that are slow: both write in pieces, with pauses longer than servers are waited for
+/// where another could answer, and the client reads after a while.
+#[test]
+fn slow_peers_are_waited_for() {
+    let server = Server::start(|request| {
+        let body = "y".repeat(request.body.len());
+        let whole = answer("200 OK", "", &body);
+        let (now, then) = whole.split_at(20);
+        Reply::SayThen(now.to_vec(), Duration::from_millis(600), then.to_vec())
+    });
+    let (node, _discovery) = node(&[&server]);
+    let node = &node;
+    thread::scope(|all| {
+        for length in [10, 60_000, 500_000] {
+            all.spawn(move || {
+                let id = length.to_string();
+                let mut stream = TcpStream::connect(node.address).expect("it listens");
+                let request = with_body(&upload_head(&id, length), &vec![b'x'; length]);
+                for piece in request.chunks(request.len() / 3 + 1) {
+                    thread::sleep(Duration::from_millis(800));
+                    stream.write_all(piece).expect("it is waited for");
+                }
+                thread::sleep(Duration::from_millis(1_500));
+                let served = Message::read(&mut std::io::BufReader::new(stream)).expect("an answer");
+                assert_eq!((served.status(), served.body.len()), (200, length));
+            });
+        }
+    });
+}
+
+/// Guards against a client that holds a place, and a server's connection, with a body that does not come.
+#[test]
+fn a_long_request_that_stops_is_told_so_and_runs_nowhere() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery) = node(&[&server]);
+    let mut stops = TcpStream::connect(node.address).expect("it listens");
+    let mut leaves = TcpStream::connect(node.address).expect("it listens");
+    for (id, stream) in [("stops", &mut stops), ("leaves", &mut leaves)] {
+        stream.write_all(&with_body(&upload_head(id, LONG), &[b'x'; 400_000])).expect("an open connection");
+    }
+    until("both are passed on", || server.opened() == 2);
+    drop(leaves);
+    let told = Message::read(&mut std::io::BufReader::new(&stops)).expect("an answer");
+    assert_eq!(told.status(), 408);
+    until("nothing is held", || server.closed() == 2 && node.figure("in_flight") == 0);
+    assert_eq!((server.count(), node.figure("attempts.pay")), (0, 0));
+    assert_eq!(node.ask(&read("a", "15000m")).status(), 200);
+}
+
+/// Guards against a body of which a server took a part being sent to another without that part, and against taking what
+/// never ran for what may have.
+#[test]
+fn a_long_request_is_sent_again_only_while_all_of_it_is_there() {
+    // Nobody is there: none of it was taken, so it goes on elsewhere, whatever its class.
+    let server = Server::start(|request| Reply::ok(&request.body.len().to_string()));
+    let nobody = Unreachable::start();
+    let discovery = Discovery::start();
+    let entries = [entry("s-dead", nobody.address, "ready"), server.entry("s-live", "ready")];
+    let text = config(discovery.address, &list(1, true, &entries), &settings(60_000));
+    let node = Node::start(&text);
+    for id in 0..6 {
+        let head = upload_head(&id.to_string(), 400_000);
+        let mut stream = TcpStream::connect(node.address).expect("it listens");
+        stream.write_all(&with_body(&head, &[b'x'; 400_000])).expect("it is taken");
+        let served = Message::read(&mut std::io::BufReader::new(stream)).expect("an answer");
+        assert_eq!((served.status(), served.body.as_slice()), (200, &b"400000"[..]));
+    }
+    assert_eq!(server.count(), 6);
+    // It was turned away unseen, and has gone: it is refused, which is true, and goes nowhere else.
+    let seen = Arc::<AtomicUsize>::default();
+    let declining = |seen: &Arc<AtomicUsize>| {
+        let seen = Arc::clone(seen);
+        Server::start(move |_| {
+            seen.fetch_add(1, Ordering::SeqCst);
+            Reply::Say(answer("503 Service Unavailable", "Srv-Declined: 1\r\n", ""))
+        })
+    };
+    let servers = [declining(&seen), declining(&seen)];
+    let (node, _discovery) = self::node(&[&servers[0], &servers[1]]);
+    let mut stream = TcpStream::connect(node.address).expect("it listens");
+    stream.write_all(&with_body(&upload_head("a", 400_000), &[b'x'; 400_000])).expect("it is taken");
+    let told = Message::read(&mut std::io::BufReader::new(stream)).expect("an answer");
+    assert_eq!((told.status(), seen.load(Ordering::SeqCst)), (503, 1));
+}
+
+/// Guards against descriptors, places and counts that are not given back, whoever leaves and at whichever stage.
+#[test]
+fn whoever_leaves_a_long_answer_leaves_nothing() {
+    let answer = told(&vec![b'z'; 4 << 20]);
+    let server = Server::start(move |_| Reply::Say(answer.clone())).quiet();
+    let (node, _discovery) = node(&[&server]);
+    for (at, bytes) in [0, 1, 100, 65_536, 65_700, 1 << 20, 3 << 20].into_iter().cycle().take(35).enumerate()
+    {
+        let mut stream = TcpStream::connect(node.address).expect("it listens");
+        stream.write_all(read(&at.to_string(), "60000m").as_bytes()).expect("an open connection");
+        stream.read_exact(&mut vec![0; bytes]).expect("so much of it");
+    }
+    until("nothing is open", || node.figure("in_flight") == 0);
+    until("no connection is held for them", || server.opened() - server.closed() <= 1);
+    let mut client = node.connect();
+    client.send(&read("last", "60000m"));
+    assert_eq!(client.answer().expect("an answer").body.len(), 4 << 20);
+}
