Send away first who asked once only, and hold connections while a node hands over

Nearly all that stood idle had asked once and never did again.

Change: connections are idle after their first request or after a later one; of the first kind half of the clients' share is kept free, of the second a sixth as before. A node on its way out sends nobody away for that: clients get no further connections there, and use those that they have.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -165,8 +165,17 @@
             log::line("a client did not take its answer in time");
         }
     };
+    let mut stops = hall.phases.clone();
+    let holding = async {
+        let _ = stops.wait_for(|phase| *phase != Phase::Serving).await;
+        if !hall.entrance.is_shared {
+            places.hold();
+        }
+        std::future::pending::<()>().await;
+    };
     tokio::select! {
         () = end => {}
+        () = holding => {}
         () = places.look_over(|| hall.stay()) => {}
     }
 }
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -29,6 +29,9 @@
 /// in either direction at a time. While a node hands over, clients get no further ones; at all times they get no more
 /// than their share of the descriptors.
 const KEPT_FREE: usize = 6;
+/// The same where those that stand there have asked once only: most of them never will again, and what they hold limits how
+/// many can ask at a time.
+const KEPT_FREE_OF_ONCE: usize = 2;
 /// Clients hold this part of a node's descriptors at the most for requests; `Places` are half of them.
 const SHARE_OF_PLACES: (usize, usize) = (2, 3);
 
@@ -59,8 +62,8 @@
     asked: Cell<bool>,
     /// Whether more of its answer is to come than has been written.
     passing: Cell<bool>,
-    /// Whether a request has been on it.
-    known: Cell<bool>,
+    /// How many requests have been on it.
+    requests: Cell<u64>,
     leave: Notify,
 }
 
@@ -132,24 +135,51 @@
             Stage::Over => 0,
             Stage::Silent if now - since >= PROMPT => 1,
             Stage::Head if now - self.moved.get() >= STOPPED => 1,
-            Stage::Idle => 2,
-            Stage::Silent => 3,
+            Stage::Idle if self.requests.get() <= 1 => 2,
+            Stage::Idle => 3,
+            Stage::Silent => 4,
             // Guards clients that write slowly against a crowd that says nothing, or stops half way.
-            Stage::Head => 4,
-            Stage::Answer => 5,
+            Stage::Head => 5,
+            Stage::Answer => 6,
         };
         Some((rank, since))
     }
 }
 
+/// Connections that stand between requests, the longest first, each with the time since when. Others may be among them, and
+/// are passed over.
+#[derive(Default)]
+struct Idle(VecDeque<(Rc<Place>, Instant)>);
+
+impl Idle {
+    /// Takes one more; `most` bounds what is kept of those that have gone on since.
+    fn push(&mut self, place: &Rc<Place>, most: usize) {
+        if self.0.len() >= 2 * most {
+            self.0.retain(|(place, since)| place.has_idled(*since));
+        }
+        self.0.push_back((Rc::clone(place), place.since.get()));
+    }
+
+    /// The one that has stood for longest and has not been asked to leave.
+    fn longest(&mut self) -> Option<Rc<Place>> {
+        while let Some((place, since)) = self.0.pop_front() {
+            if place.has_idled(since) && !place.asked.get() {
+                return Some(place);
+            }
+        }
+        None
+    }
+}
+
 /// All places.
 pub struct Places {
     most: usize,
     next: Cell<u64>,
     taken: RefCell<HashMap<u64, Rc<Place>>>,
-    /// Those that stand between requests, the longest first, each with the time since when. Others may be among them, and
-    /// are passed over.
-    idle: RefCell<VecDeque<(Rc<Place>, Instant)>>,
+    /// Those that stand between requests: after their first, and after a later one.
+    idle: [RefCell<Idle>; 2],
+    /// Whether clients get no further connections for those that are ended.
+    holds: Cell<bool>,
     /// Those that have had an answer, or are about to.
     known: Cell<usize>,
     freed: Notify,
@@ -163,7 +193,8 @@
             most,
             next: Cell::new(0),
             taken: RefCell::default(),
-            idle: RefCell::default(),
+            idle: Default::default(),
+            holds: Cell::new(false),
             known: Cell::new(0),
             freed: Notify::new(),
         })
@@ -183,36 +214,43 @@
             moved: Cell::new(Instant::now()),
             asked: Cell::new(false),
             passing: Cell::new(false),
-            known: Cell::new(false),
+            requests: Cell::new(0),
             leave: Notify::new(),
         });
         self.taken.borrow_mut().insert(number, Rc::clone(&place));
         Guest { places: Rc::clone(self), number, place }
     }
 
-    /// A connection's first request is on it.
+    /// From now on clients get no further connections: those that they have are kept for whoever wants one.
+    pub fn hold(&self) {
+        self.holds.set(true);
+    }
+
+    /// A request is on a connection.
     fn knows(&self, place: &Place) {
-        if !place.known.replace(true) {
+        place.requests.set(place.requests.get() + 1);
+        if place.requests.get() == 1 {
             self.known.set(self.known.get() + 1);
         }
     }
 
     /// A connection stands between requests from now on. Guards against clients that ask once and keep their connection:
-    /// together they have all that clients may hold, and the next ones find none.
+    /// together they have all that clients may hold, and the next ones find none. Those that have asked again before are
+    /// likelier to, and go last.
     fn idles(&self, place: &Rc<Place>) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() >= 2 * self.most {
-            idle.retain(|(place, since)| place.has_idled(*since));
-        }
-        idle.push_back((Rc::clone(place), place.since.get()));
+        let [once, again] = &self.idle;
+        let own = if place.requests.get() > 1 { again } else { once };
+        own.borrow_mut().push(place, self.most);
         let share = self.most * SHARE_OF_PLACES.0 / SHARE_OF_PLACES.1;
-        if self.known.get() <= share - share / KEPT_FREE {
+        if self.holds.get() {
             return;
         }
-        while let Some((longest, since)) = idle.pop_front() {
-            if longest.has_idled(since) && !longest.asked.get() {
-                return longest.ask_to_leave();
-            }
+        let (few, many) = (share - share / KEPT_FREE_OF_ONCE, share - share / KEPT_FREE);
+        let known = self.known.get();
+        let of_once = || Some(once).filter(|_| known > few)?.borrow_mut().longest();
+        let of_again = || Some(again).filter(|_| known > many)?.borrow_mut().longest();
+        if let Some(longest) = of_once().or_else(of_again) {
+            longest.ask_to_leave();
         }
     }
 
@@ -300,7 +338,7 @@
 
 impl Drop for Guest {
     fn drop(&mut self) {
-        if self.place.known.get() {
+        if self.place.requests.get() > 0 {
             self.places.known.set(self.places.known.get() - 1);
         }
         self.places.taken.borrow_mut().remove(&self.number);
