Bound who drips a long message, and mend what a second reading found

Found in a second reading of the change: (1) a hole: a client that takes a byte every few seconds of a long answer, or a server that gives or takes one so, was never out of time and held the other's connection without a bound. Both must now keep 8 bytes a millisecond with 5 s ahead (crates/passage), each counted only while it is waited for. (2) A race in the door: a connection asked to leave while silent, whose first bytes were read in the same turn, was put out all the same; a test saw it once. (3) Doubles: one name for what is read of a body next (it stood in two impls), one wait after a failed accept, one end of Coming::hold; two types were both called Held. (4) Bounds without a name: the channel's one piece, the wait for the last. The paces moved from the sockets to the crate. (5) Cases that no test provoked: chunks of one byte, a server that declines or stops in the midst of a long request, READY on the way out, a draining server in the figures, a hand-over that ends no connection.

--- a/crates/passage/src/pace.rs
+++ b/crates/passage/src/pace.rs
@@ -1,5 +1,14 @@
 //! By when a peer must have gone on.
 
+/// The least pace of a body from a client, in bytes a millisecond: three quarters of what the slowest clients have.
+const SENDING_BYTES_PER_MS: f64 = 48.0;
+/// Time given ahead of it, for clients that begin late.
+const SENDING_GIVEN_MS: f64 = 1_500.0;
+/// The least pace of a long body between two peers that each may be slow: an eighth of what the slowest clients have. The
+/// longest that is passed on is through within two hours, whatever a peer does.
+const PASSING_BYTES_PER_MS: f64 = 8.0;
+/// Time given ahead of it: a peer may stop for some seconds.
+const PASSING_GIVEN_MS: f64 = 5_000.0;
 /// How long an answer that has begun may stand still at the least: several trips between data centres.
 pub const LEAST_STALL_MS: f64 = 250.0;
 /// And at the most: a server that has written nothing for so long has stopped, whatever time is left.
@@ -34,6 +43,18 @@
         Self { due_ms: now_ms + given_ms, bytes_per_ms }
     }
 
+    /// Of a body that a client sends.
+    #[must_use]
+    pub fn of_sending(now_ms: f64) -> Self {
+        Self::begin(now_ms, SENDING_GIVEN_MS, SENDING_BYTES_PER_MS)
+    }
+
+    /// Of a long body that a peer gives or takes.
+    #[must_use]
+    pub fn of_passing(now_ms: f64) -> Self {
+        Self::begin(now_ms, PASSING_GIVEN_MS, PASSING_BYTES_PER_MS)
+    }
+
     /// So many bytes have passed.
     pub fn moved(&mut self, bytes: usize) {
         self.due_ms += bytes as f64 / self.bytes_per_ms;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -39,13 +39,10 @@
 /// The most that is read after the last answer on a connection, and for how long.
 const MOST_LINGERED: usize = 64 * MOST_BODY;
 const LINGER_TIME: Duration = Duration::from_secs(1);
-/// A body's least pace: three quarters of what the slowest clients have, with time given ahead for those that begin late.
-const LEAST_BYTES_PER_MS: f64 = 48.0;
-const GIVEN_MS: f64 = 1_500.0;
 /// The longest deadline that a client can mean.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(60 * 60);
 /// Wait after a connection could not be accepted, for want of descriptors say.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
+pub const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 /// When a client is to come back that found too few connections free: some answers have gone out by then.
 const FREE_AGAIN_MS: f64 = 50.0;
 /// How long a node that is told to stop goes on taking connections from a socket that its successor listens on, too: as
@@ -357,7 +354,9 @@
                 (is_closing, told) = (true, true);
                 connection.as_mut().graceful_shutdown();
             }
+            // Guards a client whose bytes came in the turn in which it was asked: a crowd must not put it out.
             () = place.asked_to_leave() => match place.stage() {
+                _ if !place.should_leave() => {}
                 Stage::Request => {}
                 // Here hyper sees itself whether a request has begun, and ends at once if not.
                 Stage::Idle => {
@@ -557,7 +556,7 @@
 
 impl Coming {
     fn new(body: Incoming, now_ms: f64) -> Self {
-        Self { body, pace: Pace::begin(now_ms, GIVEN_MS, LEAST_BYTES_PER_MS) }
+        Self { body, pace: Pace::of_sending(now_ms) }
     }
 
     /// How many bytes are to come, where that is told.
@@ -593,6 +592,7 @@
         let mut held = BytesMut::from(first);
         let mut share = None::<Share>;
         let told = self.left().map(|left| left.saturating_add(held.len() as u64));
+        let mut is_whole = false;
         while told.is_none_or(|told| told <= MOST_HELD as u64) && held.len() < MOST_HELD {
             // What is longer than ordinary is held as long as there is room.
             let beyond = held.len().saturating_sub(MOST_BODY);
@@ -607,26 +607,21 @@
             if !has_room {
                 break;
             }
-            match self.piece(hall).await? {
-                Some(piece) => held.extend_from_slice(&piece),
-                None => {
-                    let body = held.freeze();
-                    return Ok(Held::Whole(match share {
-                        Some(share) => share.hold(body),
-                        None => body,
-                    }));
-                }
-            }
+            let Some(piece) = self.piece(hall).await? else {
+                is_whole = true;
+                break;
+            };
+            held.extend_from_slice(&piece);
         }
-        let body = held.freeze();
-        Ok(Held::Part(match share {
-            Some(share) => share.hold(body),
-            None => body,
-        }))
+        let body = match (share, held.freeze()) {
+            (Some(share), body) => share.hold(body),
+            (None, body) => body,
+        };
+        Ok(if is_whole { Held::Whole(body) } else { Held::Part(body) })
     }
 
     /// Feeds the rest to whoever sends it on; `false`: nobody does any more.
-    async fn feed(&mut self, feeder: Feeder, hall: &Hall) -> Result<bool, Rejection> {
+    async fn feed(&mut self, mut feeder: Feeder, hall: &Hall) -> Result<bool, Rejection> {
         let mut fed = 0;
         while let Some(piece) = self.piece(hall).await? {
             fed += piece.len();
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use super::clients::{Entrance, Phase};
+use super::clients::{Entrance, Phase, ACCEPT_AGAIN};
 use super::driver::Driver;
 use super::log;
 
@@ -20,8 +20,6 @@
 /// Callers at a time; beyond them the one that came first makes room. Each holds a descriptor beside those of clients and
 /// servers.
 const MOST_CALLERS: usize = 16;
-/// Wait after a caller could not be accepted, for want of descriptors say.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 
 /// What is told and done here.
 #[derive(Clone)]
--- a/src/net/http1/exchange.rs
+++ b/src/net/http1/exchange.rs
@@ -5,7 +5,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -15,7 +15,7 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
-use passage::answer_stall_ms;
+use passage::{answer_stall_ms, Pace};
 use pool::{Broke, Closed};
 
 use super::super::answers::{ending, read_report, MOST_BODY, MOST_PASSED};
@@ -164,7 +164,7 @@
             self.traffic.allow(CHUNKED * MOST_BODY);
         }
         let is_long = told.is_some_and(|told| told > MOST_BODY as u64);
-        let mut held = Held::default();
+        let mut held = Joined::default();
         loop {
             let Some(piece) = self.piece(&mut body, stall).await? else { return Ok(Some(held.whole())) };
             if !is_long && held.len() + piece.len() <= MOST_BODY {
@@ -179,14 +179,26 @@
         }
     }
 
-    async fn pass_on(&mut self, feeder: Feeder, first: [Bytes; 2], mut body: Incoming) -> Result<(), Cut> {
+    async fn pass_on(
+        &mut self,
+        mut feeder: Feeder,
+        first: [Bytes; 2],
+        mut body: Incoming,
+    ) -> Result<(), Cut> {
         self.traffic.allow(CHUNKED * MOST_PASSED);
         let mut passed = 0;
         for piece in first {
             passed += piece.len();
             feeder.feed(piece).await?;
         }
-        while let Some(piece) = self.piece(&mut body, PASSING_STALL).await? {
+        // The server's pace; what counts is the time in which it was waited for.
+        let (mut pace, mut waited) = (Pace::of_passing(0.0), Duration::ZERO);
+        loop {
+            let due = Duration::from_secs_f64((pace.due_ms() / 1e3 - waited.as_secs_f64()).max(0.0));
+            let since = Instant::now();
+            let Some(piece) = self.piece(&mut body, due.min(PASSING_STALL)).await? else { break };
+            waited += since.elapsed();
+            pace.moved(piece.len());
             passed += piece.len();
             if passed > MOST_PASSED {
                 log::line("a server's answer does not end");
@@ -223,13 +235,13 @@
 
 /// A body as far as it is held.
 #[derive(Default)]
-struct Held {
+struct Joined {
     first: Bytes,
     /// All of it, once it has come in more than one piece.
     joined: BytesMut,
 }
 
-impl Held {
+impl Joined {
     fn len(&self) -> usize {
         self.first.len().max(self.joined.len())
     }
--- a/src/net/http1/sending.rs
+++ b/src/net/http1/sending.rs
@@ -8,7 +8,7 @@
 use http_body::{Body, Frame, SizeHint};
 
 use super::super::back::{Asking, Message};
-use super::super::passing::{Passing, Unfinished};
+use super::super::passing::{Next, Passing, Unfinished};
 use super::metered::Traffic;
 
 /// The body as one attempt sends it. What follows the beginning is taken once it is asked for, and then no other attempt
@@ -51,10 +51,7 @@
     type Data = Bytes;
     type Error = Unfinished;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Unfinished>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Next> {
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
--- a/src/net/passing.rs
+++ b/src/net/passing.rs
@@ -4,12 +4,21 @@
 use std::cell::RefCell;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
+use passage::Pace;
 use pool::Broke;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Pieces that are between the two hands: one is on its way while the next is read, and no more is held.
+const BETWEEN: usize = 1;
+
+/// How long the last piece may wait to be taken.
+const LAST_TAKEN: Duration = Duration::from_secs(5);
 
 /// Why a body that was being read came to no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,13 +29,13 @@
     ClientLeft,
 }
 
-/// The body that a client is written was cut: its client must be able to tell.
+/// A body was cut: whoever is written it must be able to tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unfinished;
 
 impl std::fmt::Display for Unfinished {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the server's answer came to no end")
+        f.write_str("the body came to no end")
     }
 }
 
@@ -38,8 +47,18 @@
     End,
 }
 
+/// What is read of a body next.
+pub type Next = Option<Result<Frame<Bytes>, Unfinished>>;
+
 /// The hand that feeds.
-pub struct Feeder(mpsc::Sender<Piece>);
+pub struct Feeder {
+    pieces: mpsc::Sender<Piece>,
+    begun: Instant,
+    /// What whoever takes the pieces must keep to.
+    pace: Pace,
+    /// When the last piece was taken, in milliseconds since the beginning.
+    taken_ms: f64,
+}
 
 /// The hand that is read.
 #[derive(Debug)]
@@ -92,21 +111,35 @@
 /// Both hands of a body of the length that is told.
 #[must_use]
 pub fn passing(told: Option<u64>) -> (Feeder, Passing) {
-    let (sender, pieces) = mpsc::channel(1);
-    (Feeder(sender), Passing { pieces, left: told })
+    let (sender, pieces) = mpsc::channel(BETWEEN);
+    let feeder = Feeder { pieces: sender, begun: Instant::now(), pace: Pace::of_passing(0.0), taken_ms: 0.0 };
+    (feeder, Passing { pieces, left: told })
 }
 
 impl Feeder {
-    /// Hands on a piece, once the one before is taken.
+    /// Hands on a piece, once the one before is taken. Guards against a peer that takes a byte now and then: it would hold
+    /// the other's connection for as long as it likes.
     ///
     /// # Errors
     ///
-    /// The client takes no more.
-    pub async fn feed(&self, piece: Bytes) -> Result<(), Cut> {
+    /// It takes no more, or so little that it is given up.
+    pub async fn feed(&mut self, piece: Bytes) -> Result<(), Cut> {
         if piece.is_empty() {
             return Ok(());
         }
-        self.0.send(Piece::Data(piece)).await.map_err(|_| Cut::ClientLeft)
+        let now_ms = self.now_ms();
+        // Until now it was whoever gives the pieces that was waited for.
+        self.pace.held_up(now_ms - self.taken_ms);
+        let bytes = piece.len();
+        let left = Duration::from_secs_f64((self.pace.due_ms() - now_ms).max(0.0) / 1e3);
+        let taken = tokio::time::timeout(left, self.pieces.send(Piece::Data(piece))).await;
+        self.taken_ms = self.now_ms();
+        self.pace.moved(bytes);
+        taken.ok().and_then(Result::ok).ok_or(Cut::ClientLeft)
+    }
+
+    fn now_ms(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64() * 1e3
     }
 
     /// The body is whole.
@@ -116,7 +149,7 @@
     /// The client took no more.
     pub async fn end(self) -> Result<(), Cut> {
         // A reader that was told the length needs no word of the end, and may have gone.
-        let _ = self.0.send(Piece::End).await;
+        let _ = tokio::time::timeout(LAST_TAKEN, self.pieces.send(Piece::End)).await;
         Ok(())
     }
 }
@@ -134,7 +167,7 @@
     }
 
     /// The next piece, or the end. An error tells that it was cut.
-    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Unfinished>>> {
+    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Next> {
         let piece = std::task::ready!(self.pieces.poll_recv(cx));
         Poll::Ready(match piece {
             Some(Piece::Data(data)) => {
@@ -212,10 +245,7 @@
     type Data = Bytes;
     type Error = Unfinished;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Unfinished>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Next> {
         let frame = match &mut *self {
             Self::Whole(body) => {
                 let frame = std::task::ready!(Pin::new(body).poll_frame(cx));
@@ -265,7 +295,7 @@
     #[tokio::test]
     async fn an_answer_that_is_cut_has_no_end_for_its_client() {
         for told in [None, Some(4), Some(2)] {
-            let (feeder, mut outgoing, how) = outgoing(told);
+            let (mut feeder, mut outgoing, how) = outgoing(told);
             feeder.feed(Bytes::from_static(b"ab")).await.expect("it is read");
             assert!(outgoing.frame().await.expect("a piece").is_ok());
             drop(feeder);
@@ -274,7 +304,7 @@
         }
         // More or less than was told is cut, too.
         for pieces in [&b"abc"[..], b"a"] {
-            let (feeder, mut outgoing, how) = outgoing(Some(2));
+            let (mut feeder, mut outgoing, how) = outgoing(Some(2));
             feeder.feed(Bytes::from_static(pieces)).await.expect("it is read");
             let fed = tokio::spawn(feeder.end());
             let collected = (&mut outgoing).collect().await;
@@ -286,7 +316,7 @@
 
     #[tokio::test]
     async fn a_whole_answer_is_told_so_however_its_end_is_seen() {
-        let (feeder, outgoing, how) = outgoing(None);
+        let (mut feeder, outgoing, how) = outgoing(None);
         let feeding = async {
             feeder.feed(Bytes::from_static(b"ab")).await.expect("it is read");
             feeder.feed(Bytes::new()).await.expect("it is read");
@@ -295,7 +325,7 @@
         let (body, ()) = tokio::join!(outgoing.collect(), feeding);
         assert_eq!((body.expect("whole").to_bytes().as_ref(), how.get()), (&b"ab"[..], Some(Passed::Whole)));
         // Nobody asks for the end of a body whose length has come.
-        let (feeder, mut outgoing, how) = self::outgoing(Some(2));
+        let (mut feeder, mut outgoing, how) = self::outgoing(Some(2));
         feeder.feed(Bytes::from_static(b"ab")).await.expect("it is read");
         assert!(outgoing.frame().await.expect("a piece").is_ok());
         drop(outgoing);
@@ -306,13 +336,39 @@
     /// Guards against a server that is read on for a client that has left, and against memory that a slow client grows.
     #[tokio::test(start_paused = true)]
     async fn a_piece_waits_for_its_client_and_ends_with_it() {
-        let (feeder, outgoing, how) = outgoing(Some(9));
+        let (mut feeder, outgoing, how) = outgoing(Some(9));
         feeder.feed(Bytes::from_static(b"ab")).await.expect("there is room for one");
         let second = feeder.feed(Bytes::from_static(b"cd"));
-        let waits = tokio::time::timeout(std::time::Duration::from_secs(60), second).await;
+        let waits = tokio::time::timeout(Duration::from_secs(4), second).await;
         assert!(waits.is_err(), "and for no more");
         drop(outgoing);
         assert_eq!(how.get(), Some(Passed::Left));
         assert_eq!(feeder.feed(Bytes::from_static(b"ef")).await, Err(Cut::ClientLeft));
     }
+
+    /// Guards against a peer that takes a little now and then for as long as it likes, and against blaming it for the
+    /// time in which there was nothing to take.
+    #[tokio::test(start_paused = true)]
+    async fn who_takes_too_little_is_given_up_and_who_is_given_nothing_is_not() {
+        let (mut feeder, mut passing) = passing(None);
+        for _ in 0..100 {
+            tokio::time::sleep(Duration::from_secs(60)).await;
+            feeder.feed(Bytes::from_static(b"x")).await.expect("it is taken at once");
+            assert!(std::future::poll_fn(|cx| passing.poll(cx)).await.is_some());
+        }
+        let drips = async {
+            while std::future::poll_fn(|cx| passing.poll(cx)).await.is_some_and(|next| next.is_ok()) {
+                tokio::time::sleep(Duration::from_secs(4)).await;
+            }
+        };
+        let feeding = async move {
+            let mut fed = 0;
+            while feeder.feed(Bytes::from_static(b"xx")).await.is_ok() && fed < 1_000 {
+                fed += 1;
+            }
+            fed
+        };
+        let ((), fed) = tokio::join!(drips, feeding);
+        assert!(fed < 10, "{fed} pieces in 4 s each");
+    }
 }
--- a/src/net/places.rs
+++ b/src/net/places.rs
@@ -106,7 +106,13 @@
         self.passing.set(passing);
     }
 
-    /// Waits until the connection should end. It may have gone on meanwhile: look at its stage again.
+    /// Whether it should end, as it stands now: one that has gone on since it was asked may stay.
+    #[must_use]
+    pub fn should_leave(&self) -> bool {
+        self.asked.get()
+    }
+
+    /// Waits until the connection should end. It may have gone on meanwhile: look again whether it should.
     pub async fn asked_to_leave(&self) {
         self.leave.notified().await;
     }
--- a/tests/long.rs
+++ b/tests/long.rs
@@ -251,3 +251,57 @@
     client.send(&read("last", "60000m"));
     assert_eq!(client.answer().expect("an answer").body.len(), 4 << 20);
 }
+
+/// Guards against taking the lines of many small chunks for an answer without end.
+#[test]
+fn an_answer_in_chunks_of_one_byte_is_whole() {
+    for length in [64 * 1024, 100_000] {
+        let body = long_body()[..length].to_vec();
+        let head = &b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"[..];
+        let answer = [head, &chunked(&body, 1)].concat();
+        let server = Server::start(move |_| Reply::Say(answer.clone()));
+        let (node, _discovery) = node(&[&server]);
+        let mut client = node.connect();
+        client.send(&read("a", "60000m"));
+        assert!(client.answer().expect("all of it").body == body, "{length}");
+    }
+}
+
+/// A server that reads so much of what comes, says this, and reads no more.
+fn reads_a_little(bytes: usize, says: &'static [u8]) -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let mut held = Vec::new();
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let _ = stream.read_exact(&mut vec![0; bytes]);
+            let _ = stream.write_all(says);
+            held.push(stream);
+        }
+    });
+    address
+}
+
+/// Guards against a request that is sent on without the part that a server has taken, whether that turned it away before
+/// its last byte or takes no more of it: it never ran, and its client is told so, once and in time.
+#[test]
+fn a_long_request_that_a_server_takes_a_part_of_is_refused_and_runs_nowhere() {
+    let declines = &b"HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"[..];
+    for says in [declines, b""] {
+        let discovery = Discovery::start();
+        let entries = [entry("s-part", reads_a_little(10_000, says), "ready")];
+        let text = config(discovery.address, &list(1, true, &entries), &settings(60_000));
+        let node = Node::start(&text.replace("\"listen\"", "\"control\":\"127.0.0.1:0\",\"listen\""));
+        let mut stream = TcpStream::connect(node.address).expect("it listens");
+        let mut sending = stream.try_clone().expect("a socket");
+        let sends = thread::spawn(move || {
+            let _ = sending.write_all(&with_body(&upload_head("a", LONG), &vec![b'x'; LONG]));
+        });
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        let told = Message::read(&mut std::io::BufReader::new(&mut stream)).expect("an answer");
+        assert_eq!(told.status(), 503);
+        drop(stream);
+        sends.join().expect("it ends");
+        assert_eq!(node.figure("attempts.pay"), 0, "its last byte never went out");
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -524,6 +524,33 @@
     });
 }
 
+/// Guards against clients that are sent away while a node hands over: they get no further connections to it.
+#[test]
+fn a_node_that_hands_over_ends_no_connection_to_keep_some_free() {
+    let nowhere = Unreachable::start();
+    let text = config(nowhere.address, &list(1, true, &[]), &settings(15_000));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let driver = Driver::start(&Config::parse(&text).expect("sound")).expect("sound");
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
+        tokio::task::spawn_local(serve(listener, driver, Entrance::own(phases, 8)));
+        tokio::task::yield_now().await; // It has begun to listen for phases.
+        phase.send_replace(Phase::HandOver(Instant::now() + 3 * PATIENCE));
+        let mut clients = Vec::new();
+        for _ in 0..2 {
+            // As many as there are places, and more than may stand idle while a node serves.
+            while clients.len() < 8 {
+                clients.push(tokio::net::TcpStream::connect(address).await.expect("it listens"));
+            }
+            for client in &mut clients {
+                assert!(ask(client, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").await.contains("200 OK"));
+            }
+        }
+    });
+}
+
 /// Guards against SIGHUP ending the process, and against a node that stays with a discovery of the past.
 #[test]
 fn sighup_moves_the_watch_to_the_discovery_of_the_new_file() {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -181,3 +181,23 @@
     }
     std::fs::remove_file(path).expect("a file");
 }
+
+/// Guards against a front that is told of a process which is on its way out, and against servers that drain unseen.
+#[test]
+fn readiness_and_drained_servers_are_told_as_they_are() {
+    let (go, server) = gated();
+    let discovery = Discovery::start();
+    let drained = Server::start(|_| Reply::ok("no"));
+    let entries = [server.entry("s-0", "ready"), drained.entry("s-1", "draining")];
+    let text = config(discovery.address, &list(1, true, &entries), &settings(60_000));
+    let mut node = Node::start(&text.replace("\"listen\"", "\"control\":\"127.0.0.1:0\",\"listen\""));
+    assert_eq!((node.figure("servers_known"), node.figure("servers_excluded")), (2, 1));
+    let mut client = node.connect();
+    client.send(&read("a", "60000m"));
+    until("it is out", || node.figure("attempts.read") == 1);
+    node.terminate();
+    until("it is on its way out", || node.call("READY\n").starts_with("400"));
+    go.store(true, Ordering::SeqCst);
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert_eq!(node.wait().code(), Some(0));
+}
