--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1003,3 +1003,27 @@
         assert_eq!(met, answers);
     }
 }
+
+/// Guards against a class's share of the mean latency that a first quick answer sets: all that follow would count as many
+/// times the ordinary, and a node that sees little refused nearly everything for seconds.
+#[test]
+fn a_quick_first_answer_does_not_make_a_class_look_slow() {
+    let mut settings = one_class(Effect::Safe);
+    settings.classes.push(Class::new(1_200.0, 6_000.0, Effect::Safe));
+    settings.nodes = 300;
+    let mut node = Node::new(settings, 11);
+    node.servers(ready(0..200));
+    let mut refusals = 0;
+    for id in 0..150 {
+        node.now += 60.0;
+        let actions = node.request(id, (id % 2) as usize, 700.0);
+        refusals += usize::from(refused(&actions));
+        node.now += 30.0;
+        // Both classes take alike; the very first answer alone comes at once.
+        let took = if id == 0 { 1.0 } else { 90.0 };
+        if send_of(&actions).is_some() {
+            node.end(id, 0, took, Ending::Served);
+        }
+    }
+    assert!(refusals <= 3, "{refusals} of 150 refused with every answer far within its aim");
+}
