--- a/src/choice.rs
+++ b/src/choice.rs
@@ -124,8 +124,8 @@
             random: fastrand::Rng::with_seed(seed),
             subset: SAMPLE,
             budget: settings.resends.unwrap_or(own),
-            // Guards against a first answer that decides alone how long a class takes: as long as others, until
-            // as many are seen as a mean goes by.
+            // Guards against a first answer that decides alone how long a class takes: it takes as long as
+            // others, until as many are seen as a mean goes by.
             classes: vec![Mean { mean: 1.0, deviation: 1.0, seen: 1.0 / GAIN }; settings.classes.len()],
             kinds: vec![Pace::default(); settings.kinds],
             half_life: MEMORY * aim,
@@ -669,8 +669,8 @@
         // Where counts are fresh a time-out tells of the answer, not of the load.
         let late = outcome.ending == Ending::TimedOut && !self.probing && !overtaken;
         if outcome.ending == Ending::Served || late {
-            // Guards against shares of a mean that a few answers make up: many times too large, they stay for as
-            // long as it takes to forget them, and all is refused meanwhile.
+            // Guards against shares of a mean that a few answers make up: many times too large, they stay for
+            // as long as it takes to forget them, and all is refused meanwhile.
             if expected > 0.0 && self.all.seen(now, MEMORY * self.aim) >= 1.0 / GAIN {
                 self.classes[class].add(elapsed / expected, GAIN / 4.0);
             }
