--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,12 @@
 const ASK_PART: f64 = 0.02;
 const LOST_MORE: f64 = 0.2; // Idle connections are closed before use where so much more is lost on them.
 const AGAIN: f64 = 0.125; // An overdue attempt is asked after again after this part of a mean aim.
+/// Of a list no longer than the first every server is looked at for each request; of a longer one so many
+/// that were met, so many that are cold and open to this node, and the next so many of its turn of the ring.
+const SCAN: usize = 64;
+const LOOK: usize = 24;
+const NEXT: usize = 8;
+const SPARE: usize = 256; // Lists of attempts kept for the next requests: as many as are open at a time.
 /// A server with so many of ours out and this count at the most has no queue to speak of.
 const NO_QUEUE: (usize, f64) = (2, 3.0);
 const FEW: usize = 2; // Servers among which the lowest count decides where reports are old.
@@ -86,6 +92,16 @@
     subset: usize,
     /// The part of the ready servers' capacity that is there: what is cold has less.
     warm: f64,
+    /// Of a long list: the servers met, some perhaps no more; those that are cold, by threshold; how many of
+    /// each kind are ready; whom the request at hand may go to.
+    met: Vec<usize>,
+    cold: Vec<usize>,
+    of_kinds: Vec<f64>,
+    pool: Vec<usize>,
+    /// Room for what is made up anew for each request.
+    candidates: Vec<Candidate>,
+    paces: Vec<(f64, f64)>,
+    spare: Vec<Vec<Attempt>>,
     held: HashMap<RequestId, Held>,
     lanes: HashMap<Box<str>, Lane>,
     /// When keys have rested.
@@ -131,6 +147,7 @@
             // Guards against a first answer that decides alone how long a class takes.
             classes: settings.classes.iter().map(|class| usual_share(class.aim_ms / aim)).collect(),
             kinds: vec![Pace::default(); settings.kinds],
+            of_kinds: vec![0.0; settings.kinds.max(1)],
             half_life: MEMORY * aim,
             probing: settings.probes && settings.reports != Reports::Off && cheap,
             informed: true,
@@ -213,8 +230,60 @@
         let start = self.settings.me * ring.len() / self.settings.nodes;
         ring.rotate_left(start);
         self.ring = ring.into_iter().map(|(_, at)| at).collect();
-        let warmth = |at: &usize| warmth(&self.settings, self.now, &self.servers[at]).unwrap_or(1.0);
-        self.warm = self.ring.iter().map(warmth).sum::<f64>() / self.ring.len().max(1) as f64;
+        self.index();
+    }
+
+    /// Notes how much of the capacity is warm, and what a sample of a long list is drawn from.
+    fn index(&mut self) {
+        let (long, mut warm, mut cold) = (self.ring.len() > SCAN, 0.0, Vec::new());
+        self.met.clear();
+        self.of_kinds.fill(0.0);
+        for (at, server) in self.servers.iter().filter(|(_, server)| server.is_ready()) {
+            let warmth = warmth(&self.settings, self.now, server);
+            warm += warmth.unwrap_or(1.0);
+            if long {
+                let kind = server.entry.kind.min(self.of_kinds.len() - 1);
+                self.of_kinds[kind] += 1.0;
+                self.met.extend(Some(*at).filter(|_| server.met));
+                cold.extend(warmth.map(|_| (server.threshold, *at)));
+            }
+        }
+        self.warm = warm / self.ring.len().max(1) as f64;
+        cold.sort_by(|a, b| a.0.total_cmp(&b.0));
+        self.cold.clear();
+        self.cold.extend(cold.into_iter().map(|(_, at)| at));
+    }
+
+    /// Draws from a long list whom a request may go to. As good as all of them: of the servers never met all
+    /// but the kind is unknown, so a few stand for all, and `pick` prefers those met; of these, and of the
+    /// cold ones, so many have a quick one among them nearly always.
+    fn sample(&mut self, pool: &mut Vec<usize>, served: f64) {
+        let mut drawn = 0;
+        while drawn < LOOK.min(self.met.len()) {
+            let other = self.random.usize(drawn..self.met.len());
+            self.met.swap(drawn, other);
+            let at = self.met[drawn];
+            if self.servers.get(&at).is_some_and(|s| s.met && s.is_ready()) {
+                pool.push(at);
+                drawn += 1;
+            } else {
+                self.met.swap_remove(drawn);
+            }
+        }
+        // No budget is larger than this: servers are at most so many times as large as the mean.
+        let most = (4.0 * served / self.ring.len() as f64).max(1.0 / self.settings.nodes as f64);
+        let open = |at: &usize| self.servers.get(at).is_some_and(|s| s.threshold < most);
+        let open = self.cold.partition_point(open);
+        for i in 0..open.min(LOOK) {
+            let other = self.random.usize(i..open);
+            pool.push(self.cold[if open <= LOOK { i } else { other }]);
+        }
+        let unmet = |at: &usize| self.servers.get(at).is_some_and(|s| s.is_ready() && !s.met);
+        let before = pool.len();
+        pool.extend(self.ring.iter().take(SCAN).copied().filter(unmet).take(NEXT));
+        for _ in pool.len()..before + NEXT {
+            pool.push(self.ring[self.random.usize(0..self.ring.len())]);
+        }
     }
 
     /// Guards against a lost subscription: without one the node would send to servers long gone.
@@ -271,29 +340,46 @@
         }
         let lowest = least(&candidates, |c| c.rank);
         candidates.retain(|c| c.rank <= lowest);
-        self.random.choice(candidates).map(|c| c.server)
+        let chosen = self.random.choice(&candidates).map(|c| c.server);
+        self.candidates = candidates;
+        chosen
     }
 
     /// The subset: the first servers of the ring that the rules allow for this request and that are healthy;
     /// where none is, the first that are not. Of a request that has asked for loads, those that answered.
     fn candidates(&mut self, held: &Held) -> Vec<Candidate> {
+        let mut pool = std::mem::take(&mut self.pool);
+        pool.clear();
+        let free = held.ran.is_none() || self.settings.classes[held.class].effect.may_be_refused();
+        if !self.probing && self.ring.len() > SCAN && free {
+            let served = self.served.after(self.now - self.settings.tip_after_ms);
+            self.sample(&mut pool, served);
+        }
         let (now, half_life, nodes) = (self.now, self.half_life, self.settings.nodes as f64);
         let effect = self.settings.classes[held.class].effect;
         let all = self.all.or(now, MEMORY * self.aim, (self.aim / 4.0, 1.0), PRIOR);
         let kinds = self.kinds.iter().filter(|_| !self.probing);
-        let kinds: Vec<_> = kinds.map(|k| k.or(now, half_life, all, PRIOR)).collect();
+        let mut paces = std::mem::take(&mut self.paces);
+        paces.clear();
+        paces.extend(kinds.map(|k| k.or(now, half_life, all, PRIOR)));
+        let kinds = &paces;
         let of_kind = |s: &Server| kinds.get(s.entry.kind).copied().unwrap_or(all);
         let size = |s: &Server| of_kind(s).1 / of_kind(s).0;
         let window = now - self.settings.tip_after_ms;
         let served = self.served.after(window);
         let most = if self.probing { self.subset } else { self.ring.len() };
-        let subset = || self.ring.iter().take(most).filter_map(|at| self.servers.get(at));
-        let total: f64 = subset().map(size).sum();
+        let whom = if pool.is_empty() { &self.ring } else { &pool };
+        let subset = || whom.iter().take(most).filter_map(|at| self.servers.get(at));
+        let total: f64 = match pool.is_empty() {
+            true => subset().map(size).sum(),
+            false => kinds.iter().zip(&self.of_kinds).map(|(of, ready)| ready * of.1 / of.0).sum(),
+        };
         let counts = subset().filter_map(|s| Some(s.count? / size(s)));
         let mean = counts.clone().sum::<f64>() / counts.count().max(1) as f64;
         let home = held.ran.map(|first| &held.attempts[first].entry);
-        let (mut found, mut candidates) = (0, Vec::new());
-        for at in if held.heard.is_empty() { &self.ring } else { &held.heard }.iter().copied() {
+        let (mut found, mut candidates) = (0, std::mem::take(&mut self.candidates));
+        candidates.clear();
+        for at in if held.heard.is_empty() { whom } else { &held.heard }.iter().copied() {
             let Some(server) = self.servers.get_mut(&at).filter(|s| s.is_ready()) else { continue };
             if !home.is_none_or(|home| effect.may_move(home, &server.entry)) {
                 continue;
@@ -341,6 +427,7 @@
         prefer(&mut candidates, |c| c.healthy);
         prefer(&mut candidates, |c| held.attempts.iter().all(|a| a.server != c.server));
         candidates.truncate(most);
+        (self.pool, self.paces) = (pool, paces);
         candidates
     }
 
@@ -355,6 +442,7 @@
             lane: request.item.filter(|_| class.in_order),
             taken_at: now,
             gives_up_at: now + request.budget_ms,
+            attempts: self.spare.pop().unwrap_or_default(),
             ..Held::default()
         };
         let last = self.last_request.replace(now);
@@ -638,6 +726,10 @@
             (false, false) => self.actions.push(Action::Fail { request }),
         }
         self.over(request, held.lane.as_deref());
+        if self.spare.len() < SPARE {
+            held.attempts.clear();
+            self.spare.push(held.attempts);
+        }
     }
 
     fn client_gone(&mut self, request: RequestId) {
@@ -698,7 +790,10 @@
                 kind.add(now, half_life, elapsed / usual.mean, depth, GAIN / 4.0);
             }
         }
-        server.met = !matches!(outcome.ending, Ending::Unreachable | Ending::Reset);
+        let met = !matches!(outcome.ending, Ending::Unreachable | Ending::Reset);
+        if !std::mem::replace(&mut server.met, met) && met && !self.met.contains(&at) {
+            self.met.push(at);
+        }
         if outcome.ending == Ending::Served {
             self.served.push(now);
             server.answered_sent_at = server.answered_sent_at.max(attempt.sent_at);
