--- a/test.sh
+++ b/test.sh
@@ -12,4 +12,5 @@
     SILVERTHREAD_TEST_KIND=$kind cargo test --locked --test servers --test node --test clients --test consul
 done
 # Each subject of the measurements for a moment, so that none rots; the figures say nothing here.
-timeout 300 cargo run --locked --release -p measure -- all --brief
+cargo build --locked --release -p measure
+timeout 300 target/release/measure all --brief
