Starve no class for its worth: below three in ten sent on, it goes by its own aim

Change: the share of each class that is sent on is kept (the last sixteen); below LEAST_TAKEN the class goes by its own aim.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,6 +31,8 @@
 /// gets `LEAST_AIM` of that.
 const AIM_PART: [f64; 2] = [0.45, 0.8];
 const LEAST_AIM: f64 = 0.5;
+/// The share of a class's requests that is sent on of late below which it goes by its own aim alone.
+const LEAST_TAKEN: f64 = 0.3;
 /// How many aims may pass until a busy node comes round in its subset; the least is as many as are asked.
 const ROUND: f64 = 4.0;
 /// Servers that are asked for their load before a send, where that costs no more of the result than
@@ -118,6 +120,8 @@
     resent: Recent,
     /// Latency by class, as a multiple of what was expected; pace of all servers and by kind.
     classes: Vec<Mean>,
+    /// The share of each class's requests that was sent on, of late.
+    sent_on: Vec<Mean>,
     all: Pace,
     kinds: Vec<Pace>,
     /// Mean aim of the classes, the time scale of all judgements, and the half-life of what is learned.
@@ -152,6 +156,7 @@
             budget: settings.resends.unwrap_or(own),
             // Guards against a first answer that decides alone how long a class takes.
             classes: settings.classes.iter().map(|class| usual_share(class.aim_ms / aim)).collect(),
+            sent_on: vec![Mean::default(); settings.classes.len()],
             kinds: vec![Pace::default(); settings.kinds],
             of_kinds: vec![0.0; settings.kinds.max(1)],
             half_life: MEMORY * aim,
@@ -540,7 +545,11 @@
         let first = held.attempts.is_empty();
         let aim = if first || self.probing { self.worthwhile(&held) } else { f64::INFINITY };
         let spare = first || self.spare_resends() >= 1.0;
-        if let Some(server) = spare.then(|| self.pick(&mut held, aim)).flatten() {
+        let server = spare.then(|| self.pick(&mut held, aim)).flatten();
+        if first {
+            self.sent_on[held.class].add(f64::from(u8::from(server.is_some())), GAIN);
+        }
+        if let Some(server) = server {
             self.send(id, &mut held, server);
             self.held.insert(id, held);
         } else {
@@ -663,6 +672,13 @@
             let aim = held.taken_at + self.settings.classes[held.class].aim_ms;
             return (aim.min(held.gives_up_at) - self.now) * part;
         }
+        // Guards against a class that is starved for its worth by the near aim of another, to no gain.
+        let taken = self.sent_on[held.class];
+        if taken.seen >= 1.0 / GAIN && taken.mean < LEAST_TAKEN {
+            let usual = self.classes[held.class].mean;
+            let aim = self.settings.classes[held.class].aim_ms / usual;
+            return aim.min(held.gives_up_at - self.now) * warm * AIM_PART[0];
+        }
         // A distant aim must not let low worth fill the queues in which worthier classes would be late.
         let worthier = (0..self.classes.len()).filter(|k| *k == held.class || density(*k) > own);
         let aim = |k: usize| self.settings.classes[k].aim_ms / self.classes[k].mean;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1168,3 +1168,35 @@
         assert!(second != first && second % 60 == first % 60, "{first}, then {second}");
     }
 }
+
+/// Guards against a class that is starved because it is worth little and takes long, by the near aim of another: what
+/// takes 200 ms is far within an aim of 2.5 s, whatever becomes of a class whose aim is 80 ms.
+#[test]
+fn a_class_of_distant_aim_is_not_starved_by_one_whose_aim_is_out_of_reach() {
+    let mut settings = one_class(Effect::Safe);
+    settings.classes = vec![
+        Class::new(80.0, 300.0, Effect::Safe),
+        Class::new(400.0, 1_500.0, Effect::Safe),
+        Class { worth: 0.25, ..Class::new(2_500.0, 9_000.0, Effect::Safe) },
+    ];
+    settings.nodes = 300;
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..180));
+    let (mut asked, mut refusals) = ([0; 3], [0; 3]);
+    for id in 0..900 {
+        node.now += 60.0;
+        let class = (id % 3) as usize;
+        let actions = node.request(id, class, [300.0, 1_500.0, 9_000.0][class]);
+        let sent = send_of(&actions).is_some();
+        if sent {
+            node.now += 1.0;
+            node.end(id, 0, [180.0, 180.0, 400.0][class], Ending::Served);
+        }
+        if id >= 300 {
+            asked[class] += 1;
+            refusals[class] += usize::from(!sent);
+        }
+    }
+    assert!(refusals[0] * 2 > asked[0], "the near aim is out of reach: {refusals:?} of {asked:?}");
+    assert!(refusals[2] * 10 < asked[2] * 7, "the distant aim is not: {refusals:?} of {asked:?} refused");
+}
