Take what crosses a shutdown, end resting connections in order, see clients leave

1. converse in src/net/front/clients.rs called graceful_shutdown whatever lay in the socket: a request that came in the turn of the shutdown, or a head of which a part had been read, got a reset or an end with no answer. Now the system is asked (peek) and the framing: what has begun to come is taken and its answer is the last. 2. A connection that was told to end was dropped without the lingering close: what its client sent across the end was answered by a reset. Only who does not go on with a head or takes no answer is left so now. 3. hyper does not look for a client's end while it holds bytes of its next request: an attempt went on, and further ones began, for a client that had pipelined, or flooded, and left. src/net/front/socket.rs reads ahead, within 16 KiB, while a request is served; beyond that it looks every 40 ms whether the end has been told beside unread bytes.

--- a/src/net/front/clients.rs
+++ b/src/net/front/clients.rs
@@ -4,9 +4,8 @@
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::io;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -20,7 +19,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use passage::{Pace, Room, Share};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -28,9 +27,9 @@
 use crate::net::back::{Answering, Asking, Message, Served};
 use crate::net::config::Limits;
 use crate::net::driver::{Answer, Driver};
-use crate::net::front::framing::Framing;
 use crate::net::front::passing::{passing, Feeder, Outgoing, Passed, Upload};
 use crate::net::front::places::{Guest, Place, Places, Stage};
+use crate::net::front::socket::Socket;
 use crate::net::operate::log;
 use crate::Effect;
 
@@ -238,76 +237,12 @@
     }
 }
 
-/// A client's socket: what is read is noted for its framing and its place. hyper has one hold on it and the
-/// connection's task another, so that it outlives hyper's use of it.
-#[derive(Clone)]
-struct Socket {
-    stream: Rc<RefCell<TcpStream>>,
-    framing: Rc<RefCell<Framing>>,
-    place: Rc<Place>,
-    guest: Rc<Guest>,
-}
-
-impl Socket {
-    fn noted(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(written, Poll::Ready(Ok(bytes)) if bytes > 0) {
-            self.place.goes_on();
-        }
-        written
-    }
-}
-
-impl AsyncRead for Socket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
-        let read = &buf.filled()[before..];
-        if !read.is_empty() {
-            self.framing.borrow_mut().push(read);
-            self.place.hears();
-        }
-        result
-    }
-}
-
-impl AsyncWrite for Socket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
-        self.noted(written)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
-        self.noted(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.borrow().is_write_vectored()
-    }
-
-    /// hyper flushes once it has written all that it holds: then the answer is out.
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.guest.is_flushed();
-        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
-    }
-}
-
 async fn connection(stream: TcpStream, hall: Rc<Hall>, guest: Guest) {
     if let Err(error) = stream.set_nodelay(true) {
         return log::line(format_args!("cannot set up a connection: {error}"));
     }
-    let place = Rc::clone(&guest.place);
-    let stream = Rc::new(RefCell::new(stream));
-    let socket = Socket { stream, framing: Rc::default(), place, guest: Rc::new(guest) };
-    if converse(&socket, &hall).await == Left::ByItself {
+    let socket = Socket::new(stream, guest);
+    if converse(&socket, &hall).await == Left::InOrder {
         linger(&socket).await;
     }
 }
@@ -315,10 +250,10 @@
 /// How hyper's part of a connection ended.
 #[derive(PartialEq)]
 enum Left {
-    /// The client closed it, or an answer was its last.
-    ByItself,
-    /// It was told to end.
-    PutOut,
+    /// The client closed it, an answer was its last, or it was closed between requests.
+    InOrder,
+    /// There is nobody to read what is left to write.
+    Cut,
 }
 
 async fn converse(socket: &Socket, hall: &Hall) -> Left {
@@ -347,7 +282,8 @@
     let mut connection = pin!(connection);
     let mut phases = hall.phases.clone();
     let mut closing = pin!(phases.wait_for(Phase::is_closing));
-    let (mut is_closing, mut told) = (false, false);
+    let mut gone = pin!(socket.client_gone());
+    let mut is_closing = false;
     loop {
         tokio::select! {
             biased;
@@ -355,23 +291,24 @@
                 if let Some(error) = ended.err().filter(hyper::Error::is_parse) {
                     log::line(format_args!("a client's message is malformed: {error}"));
                 }
-                return if told { Left::PutOut } else { Left::ByItself };
+                return Left::InOrder;
             }
-            // One between requests is closed, any other with the answer to come.
+            () = gone.as_mut() => return Left::Cut,
+            // One that rests is closed, and what comes on it from then on is read by nobody. A request that is on it is
+            // answered; one that has begun to come is taken once it is whole, and its answer is the last.
             _ = &mut closing, if !is_closing => {
-                (is_closing, told) = (true, true);
-                connection.as_mut().graceful_shutdown();
+                is_closing = true;
+                if matches!(place.stage(), Stage::Request | Stage::Answer) || socket.rests() {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
             // Guards a client whose bytes came in the turn in which it was asked: a crowd must not put it out.
             () = place.asked_to_leave() => match place.stage() {
                 _ if !place.should_leave() => {}
                 Stage::Request => {}
-                // Here hyper sees itself whether a request has begun, and ends at once if not.
-                Stage::Idle => {
-                    told = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-                _ => return Left::PutOut,
+                Stage::Idle if socket.rests() => connection.as_mut().graceful_shutdown(),
+                Stage::Idle => {}
+                _ => return Left::Cut,
             },
         }
     }
--- a/src/net/front/framing.rs
+++ b/src/net/front/framing.rs
@@ -88,6 +88,12 @@
         };
     }
 
+    /// Whether nothing of a message has come since the last one ended.
+    #[must_use]
+    pub fn is_between(&self) -> bool {
+        matches!(&self.at, At::Head(head) if head.kept == 0 && !head.started)
+    }
+
     /// Whether the end of message `number`, counted from one, can be read in two ways.
     #[must_use]
     pub fn is_doubtful(&self, number: u64) -> bool {
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -5,3 +5,4 @@
 pub(in crate::net) mod inherited;
 pub(in crate::net) mod passing;
 mod places;
+mod socket;
--- a/src/net/front/places.rs
+++ b/src/net/front/places.rs
@@ -397,12 +397,14 @@
         self.places.knows(&self.place);
     }
 
-    /// All that there was to write has gone out.
-    pub fn is_flushed(&self) {
-        if self.place.stage() == Stage::Answer && !self.place.passing.get() {
+    /// All that there was to write has gone out; tells whether that was the end of an answer.
+    pub fn is_flushed(&self) -> bool {
+        let ends = self.place.stage() == Stage::Answer && !self.place.passing.get();
+        if ends {
             self.place.enter(Stage::Idle);
             self.places.idles(&self.place);
         }
+        ends
     }
 }
 
--- a/tests/close_range.rs
+++ b/tests/close_range.rs
@@ -1,9 +1,15 @@
 //! Where two events cross: a word of the end, a client that leaves, a connection that closes, each at the worst moment.
 //! What crosses is forced by peers that wait for one event before they bring about the other.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use silverthread::net::config::Config;
+use silverthread::net::driver::Driver;
+use silverthread::net::front::clients::{serve, Entrance, Phase};
 use testkit::*;
+use tokio::sync::watch;
 
 /// The longest that a node may take from SIGTERM to its last answer, where a class's deadline is 3 s or more: SIGKILL
 /// may come then.
@@ -34,3 +40,204 @@
     assert_eq!(node.wait().code(), Some(0));
     assert_eq!(server.requests().len(), 3, "nothing was sent again so late");
 }
+
+/// More than is read of a connection whose request is being served, and less than the system takes for it.
+const FLOOD: usize = 100 * 1024;
+
+/// Guards against attempts for clients that have left: one that sent more than its request must be seen to leave while
+/// that is served, though nobody reads what it sent. Its attempt is given up, which the server sees.
+#[test]
+fn a_client_that_sent_more_than_its_request_is_seen_to_leave() {
+    let next = read("next", "15000m");
+    for more in
+        [String::new(), next.clone(), next[..next.len() / 2].to_owned(), next.repeat(FLOOD / next.len())]
+    {
+        let server = Server::start(|_| Reply::Silence);
+        // Its time is longer than anything here is waited for.
+        let (node, _discovery, _watch) = Node::with(&[&server], 600_000);
+        let mut client = node.connect();
+        client.send(&format!("{}{more}", read("first", "600000m")));
+        until("its attempt is out", || server.requests().len() == 1);
+        assert_eq!(server.closed(), 0);
+        drop(client);
+        until("its attempt is given up", || server.closed() == 1);
+        assert_eq!(server.requests().len(), 1, "nothing else was sent on for it");
+    }
+}
+
+/// Guards the requests behind one that is served: what was read ahead of its answer is taken after it, whole and once,
+/// wherever the pieces of it end.
+#[test]
+fn what_came_ahead_of_an_answer_is_taken_after_it() {
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let second = post("second", "hold", "Idempotency-Key: 5c0f\r\n", "a body");
+    for cut in [0, 1, second.len() / 2, second.len() - 6, second.len() - 1, second.len()] {
+        let mut client = node.connect();
+        client.send(&format!("{}{}", read("first", "15000m"), &second[..cut]));
+        assert_eq!(client.answer().expect("an answer").status(), 200, "cut at {cut}");
+        client.send(&format!("{}{}", &second[cut..], read("third", "15000m")));
+        for _ in 0..2 {
+            assert_eq!(client.answer().expect("an answer").status(), 200, "cut at {cut}");
+        }
+    }
+    assert_eq!(server.requests().len(), 18);
+}
+
+/// The front of a node in this thread: its event loop runs only in [`turn_until`], so that what a client writes and a word
+/// of the end can meet in one turn of it, in either order.
+struct Front {
+    runtime: tokio::runtime::Runtime,
+    local: tokio::task::LocalSet,
+    address: std::net::SocketAddr,
+    phase: watch::Sender<Phase>,
+    server: Server,
+    serving: tokio::task::JoinHandle<()>,
+}
+
+impl Front {
+    fn start() -> Self {
+        let server = Server::start(|_| Reply::ok("yes"));
+        let known = list(1, true, &[server.entry("s-0", "ready")]);
+        let text = config(Unreachable::start().address, &known, &settings(60_000));
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let local = tokio::task::LocalSet::new();
+        let (phase, phases) = watch::channel(Phase::Serving);
+        let (address, serving) = local.block_on(&runtime, async {
+            let driver = Driver::start(&Config::parse(&text).expect("sound")).expect("sound");
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            (address, tokio::task::spawn_local(serve(listener, driver, Entrance::own(phases, 64))))
+        });
+        Self { runtime, local, address, phase, server, serving }
+    }
+
+    /// Lets the event loop run for a few milliseconds.
+    fn turn(&self, ms: u64) {
+        self.local.block_on(&self.runtime, async { tokio::time::sleep(Duration::from_millis(ms)).await });
+    }
+
+    /// Lets the event loop run until something is so.
+    fn turn_until(&self, what: &str, mut so: impl FnMut() -> bool) {
+        let since = Instant::now();
+        while !so() {
+            assert!(since.elapsed() < PATIENCE, "{what}");
+            self.turn(1);
+        }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("it listens");
+        stream.set_nonblocking(true).expect("a socket");
+        stream.set_nodelay(true).expect("a socket");
+        stream
+    }
+
+    /// What a client reads up to the end of the connection, and whether that end is in order.
+    fn read_to_end(&self, client: &mut TcpStream) -> (String, bool) {
+        let (mut read, mut ended) = (Vec::new(), None);
+        self.turn_until("the connection ends", || {
+            let mut piece = [0; 4096];
+            match client.read(&mut piece) {
+                Ok(0) => ended = Some(true),
+                Ok(n) => read.extend_from_slice(&piece[..n]),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => ended = Some(false),
+            }
+            ended.is_some()
+        });
+        (String::from_utf8(read).expect("text"), ended.expect("ended"))
+    }
+
+    /// Asks whether the node is up, and reads the answer: the connection rests then.
+    fn rest(&self, client: &mut TcpStream) {
+        client.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n").expect("an open connection");
+        let mut read = Vec::new();
+        self.turn_until("it is up", || {
+            let mut piece = [0; 4096];
+            let came = client.read(&mut piece).unwrap_or(0);
+            read.extend_from_slice(&piece[..came]);
+            read.ends_with(b"\r\n\r\n")
+        });
+    }
+
+    fn shut_down(&self) {
+        self.phase.send_replace(Phase::Closing(Instant::now() + 3 * PATIENCE));
+    }
+}
+
+/// Guards a request that comes in the very turn in which the node shuts connections down: it has been taken, so it is
+/// answered whole, on a connection that rested and on one that had said nothing, wherever the event loop was with it.
+#[test]
+fn a_request_in_the_turn_of_the_shutdown_is_answered() {
+    let request = read("crossing", "15000m");
+    for rested in [true, false] {
+        for ahead in [0, 1, request.len() / 2, request.len() - 1, request.len()] {
+            let front = Front::start();
+            let mut client = front.connect();
+            if rested {
+                front.rest(&mut client);
+            } else {
+                front.turn(5);
+            }
+            // The part ahead has been read by the event loop, if there is one; the rest lies in the socket.
+            client.write_all(&request.as_bytes()[..ahead]).expect("an open connection");
+            if (1..request.len()).contains(&ahead) {
+                front.turn(5);
+            }
+            client.write_all(&request.as_bytes()[ahead..]).expect("an open connection");
+            front.shut_down();
+            let (answer, in_order) = front.read_to_end(&mut client);
+            let case = format!("rested: {rested}, {ahead} bytes ahead");
+            assert!(answer.starts_with("HTTP/1.1 200 OK") && answer.ends_with("yes"), "{case}: {answer:?}");
+            assert!(answer.to_ascii_lowercase().contains("connection: close"), "{case}");
+            assert!(in_order, "{case}");
+            assert_eq!(front.server.requests().len(), 1, "{case}");
+            front.turn_until("the node ends", || front.serving.is_finished());
+        }
+    }
+}
+
+/// Guards a request of which a part had come when the node shut its connections down.
+#[test]
+fn a_head_that_is_half_there_at_the_shutdown_may_end_and_is_answered() {
+    let request = read("half", "15000m");
+    for cut in [1, 20, request.len() / 2, request.len() - 1] {
+        let front = Front::start();
+        let mut client = front.connect();
+        front.rest(&mut client);
+        client.write_all(&request.as_bytes()[..cut]).expect("an open connection");
+        front.turn(5);
+        front.shut_down();
+        front.turn(20);
+        client.write_all(&request.as_bytes()[cut..]).expect("an open connection");
+        let (answer, in_order) = front.read_to_end(&mut client);
+        assert!(answer.starts_with("HTTP/1.1 200 OK") && in_order, "cut at {cut}: {answer:?}");
+    }
+}
+
+/// Guards against a request that is read after the shutdown and sent on, and against a reset for a client whose bytes
+/// cross the end: the node reads on for a while, and passes over what comes.
+#[test]
+fn what_comes_behind_the_end_is_passed_over_and_the_end_is_in_order() {
+    let front = Front::start();
+    let mut clients: Vec<_> = (0..4).map(|_| front.connect()).collect();
+    clients[..2].iter_mut().for_each(|client| front.rest(client));
+    front.turn(5);
+    front.shut_down();
+    for (at, client) in clients.iter_mut().enumerate() {
+        let (read, in_order) = front.read_to_end(client);
+        assert!(read.is_empty() && in_order, "client {at} is told of the end: {read:?}");
+        // The end has come, and the client has asked before it saw that; a second time it gets a reset where the node is
+        // not there any more.
+        for _ in 0..2 {
+            let request = post("behind", "pay", "", "x");
+            client.write_all(request.as_bytes()).expect("it still reads");
+            front.turn(5);
+        }
+        assert!(front.read_to_end(client).1, "client {at}");
+    }
+    clients.clear();
+    front.turn_until("the node ends", || front.serving.is_finished());
+    assert!(front.server.requests().is_empty(), "none was sent on");
+}
