Hear of a change within 6 s whatever becomes of a watch, by steps that add up

A line that goes on and never ends counted as life for ever. And a node whose discovery moved while it waited to ask again asked the new one for changes since a version of the old one (the change of address was consumed by borrow_and_update with `moved` unset): it would have kept servers that the new list no longer names.

Ruled out by tests (they passed before): headers and no line, half a line and silence where lists are pushed, a reset in a line, a 503, nonsense.

LONGEST_RESUBSCRIBE_MS bounds the module's wait at 1.5 s. The stand-in for discovery now keeps its watches alive as the real one does, so tests that are about something else lose none.

--- a/crates/measure/src/connections.rs
+++ b/crates/measure/src/connections.rs
@@ -130,7 +130,7 @@
     let entries: Vec<_> =
         servers.iter().enumerate().map(|(at, s)| s.entry(&format!("s-{at}"), "ready")).collect();
     let node = Node::start(&config(discovery.address, &list(1, true, &entries), &settings(15_000)));
-    let watch = discovery.watch().kept_alive();
+    let watch = discovery.watch();
     (node, discovery, watch)
 }
 
--- a/crates/measure/src/following.rs
+++ b/crates/measure/src/following.rs
@@ -53,7 +53,7 @@
     let text = config(discovery.address, &list(1, true, &entries), &settings(15_000));
     let file = operators(&consul);
     let node = Node::start_with(&text, with_consul.then_some(&file));
-    let watch = discovery.watch().kept_alive();
+    let watch = discovery.watch();
     Town { servers, consul, node, watch, _discovery: discovery }
 }
 
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -1,8 +1,9 @@
 //! Discovery as the platform has it, on a script.
 
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -23,26 +24,30 @@
     format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, entries.join(","))
 }
 
+/// How often a watch says that it is alive: discovery does so every 2 s at the latest.
+const ALIVE: Duration = Duration::from_millis(500);
+
 /// A discovery whose watch says what it is told to.
 pub struct Discovery {
     /// Where it listens.
     pub address: SocketAddr,
-    watches: Receiver<(String, TcpStream)>,
+    watches: Receiver<Watch>,
 }
 
 impl Discovery {
-    /// A discovery that takes watches and says nothing.
+    /// A discovery that takes watches and keeps them alive, and says nothing else.
     #[must_use]
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let (sender, watches): (Sender<(String, TcpStream)>, _) = channel();
+        let (sender, watches): (Sender<Watch>, _) = channel();
         thread::spawn(move || {
             for mut stream in listener.incoming().map_while(Result::ok) {
                 let mut input = BufReader::new(stream.try_clone().expect("a socket"));
                 let Some(request) = Message::read(&mut input) else { continue };
                 let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-                if stream.write_all(head.as_bytes()).is_err() || sender.send((request.first, stream)).is_err()
+                if stream.write_all(head.as_bytes()).is_err()
+                    || sender.send(Watch::open(request.first, stream)).is_err()
                 {
                     return;
                 }
@@ -54,34 +59,50 @@
     /// The next watch that a node opens.
     #[must_use]
     pub fn watch(&self) -> Watch {
-        let (asked, stream) = self.watches.recv_timeout(PATIENCE).expect("a watch");
-        Watch { asked, stream }
+        self.watches.recv_timeout(PATIENCE).expect("a watch")
     }
 }
 
-/// An open watch; dropping it ends it.
+/// How a watch stands between what it is told to say.
+#[derive(Default)]
+struct Between {
+    /// Whether a part of a line has been said.
+    in_line: bool,
+    silent: bool,
+}
+
+/// An open watch; dropping it ends it. It is kept alive with empty lines, as discovery does, between whole lines.
 pub struct Watch {
     /// The first line of the request.
     pub asked: String,
     stream: TcpStream,
+    between: Arc<Mutex<Between>>,
 }
 
 impl Watch {
+    fn open(asked: String, stream: TcpStream) -> Self {
+        let between = Arc::<Mutex<Between>>::default();
+        let (mut held, state) = (stream.try_clone().expect("a socket"), Arc::clone(&between));
+        thread::spawn(move || loop {
+            thread::sleep(ALIVE);
+            let between = state.lock().expect("no panic");
+            if between.silent || (!between.in_line && held.write_all(b"1\r\n\n\r\n").is_err()) {
+                return;
+            }
+        });
+        Self { asked, stream, between }
+    }
+
     /// Sends text as one chunk, whether or not it is a whole line.
     pub fn say(&mut self, text: &str) {
+        let mut between = self.between.lock().expect("no panic");
+        between.in_line = !text.ends_with('\n');
         self.stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).expect("an open watch");
     }
 
-    /// Keeps it alive with an empty line each second, as discovery does, until it ends.
-    #[must_use]
-    pub fn kept_alive(self) -> Self {
-        let mut stream = self.stream.try_clone().expect("a socket");
-        thread::spawn(move || {
-            while stream.write_all(b"1\r\n\n\r\n").is_ok() {
-                thread::sleep(Duration::from_secs(1));
-            }
-        });
-        self
+    /// From now on it says nothing by itself, and stays open.
+    pub fn fall_silent(&mut self) {
+        self.between.lock().expect("no panic").silent = true;
     }
 
     /// Whether the node has ended it.
@@ -93,3 +114,10 @@
         }
     }
 }
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.fall_silent();
+        let _ = self.stream.shutdown(Shutdown::Both); // One that the node has ended is past it.
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -56,6 +56,9 @@
 const TRIALS: f64 = 2.0; // All nodes together try an idle server about this often in a mean aim.
 /// The longest wait before a new subscription, as a part of what may pass without; the shortest is a 16th.
 const RESUBSCRIBE_MOST: f64 = 0.25;
+/// And at the most: a change counts as told 6 s after discovery could be reached, in which a call that
+/// was given up, this wait and the next call must be over.
+pub const LONGEST_RESUBSCRIBE_MS: f64 = 1_500.0;
 /// Spoilt answers, and connections broken under a request, one after another that are no accident.
 const SPOILT_ROW: usize = 3;
 const BROKEN_ROW: usize = 2;
@@ -329,7 +332,7 @@
             self.actions.push(Action::Note("the list of servers does not come".into()));
         }
         self.subscribing = true;
-        let most = self.settings.ask_within_ms * RESUBSCRIBE_MOST;
+        let most = (self.settings.ask_within_ms * RESUBSCRIBE_MOST).min(LONGEST_RESUBSCRIBE_MS);
         let after_ms = most / 2_f64.powi(4 - self.failed_calls) * (0.5 + 0.5 * self.random.f64());
         self.failed_calls = (self.failed_calls + 1).min(4);
         self.actions.push(Action::SetTimer { timer: RESUBSCRIBE, after_ms });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,7 +49,7 @@
 mod state;
 pub mod wire;
 
-pub use choice::Balancer;
+pub use choice::{Balancer, LONGEST_RESUBSCRIBE_MS};
 pub use interface::*;
 
 #[cfg(doctest)]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -127,7 +127,7 @@
     let known = Some(config.known.generation).filter(|_| !config.known.instances.is_empty());
     let (moves, addresses) = watch::channel(config.discovery);
     let (members, sources) = membership(&driver, &config, &extras.operators);
-    tokio::task::spawn_local(discovery::follow(members, addresses, config.push, known));
+    tokio::task::spawn_local(discovery::follow(members, addresses, config.push, config.drain_grace, known));
     let (instances, leases) = (extras.operators.instances.as_ref(), extras.operators.leases.as_ref());
     let word = extras.operators.word.as_ref();
     let fleet = Fleet::start(&config, instances, leases, word, &driver).await.map_err(NodeError::Fleet)?;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -407,7 +407,8 @@
 #[test]
 fn a_silent_watch_is_opened_again() {
     let server = Server::start(|_| Reply::ok("yes"));
-    let (_node, discovery, _silent) = Node::with(&[&server], 15_000);
+    let (_node, discovery, mut watch) = Node::with(&[&server], 15_000);
+    watch.fall_silent();
     assert!(discovery.watch().asked.contains("from=1"));
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -255,7 +255,7 @@
         assert_eq!(node.feed(Event::Timer(timer)), [Action::Subscribe]);
         assert!(node.feed(Event::Timer(timer)).is_empty(), "a timer is used once");
     }
-    assert!(waits[0] < waits[4] && waits.iter().all(|w| *w <= 2_500.0), "{waits:?}");
+    assert!(waits[0] < waits[4] && waits.iter().all(|w| *w <= LONGEST_RESUBSCRIBE_MS), "{waits:?}");
     let list = || Event::Servers(Listing::Full(ready(0..2)));
     let noted = node.feed(list());
     assert!(matches!(noted[..], [Action::Note(_)]), "and so is the end of it: {noted:?}");
--- /dev/null
+++ b/tests/watches.rs
@@ -0,0 +1,158 @@
+//! A watch on the list of servers that goes wrong in every way it can, and news that must come all the same.
+
+use std::io::{BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use silverthread::net::sources::discovery::COUNTS_AS_TOLD;
+use testkit::*;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// What becomes of a watch.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    /// It is accepted, and nothing more is heard.
+    Unanswered,
+    /// The answer's head comes, and then nothing.
+    HeadAlone,
+    /// Empty lines come, and then nothing.
+    Quiet,
+    /// A part of a line comes, and then nothing.
+    HalfLine,
+    /// A line goes on and does not end.
+    EndlessLine,
+    /// The call is refused by the service.
+    Unavailable,
+    /// The connection is reset in the midst of a line.
+    Reset,
+    /// A line makes no sense.
+    Nonsense,
+}
+
+impl Fault {
+    const ALL: [Self; 8] = [
+        Self::Unanswered,
+        Self::HeadAlone,
+        Self::Quiet,
+        Self::HalfLine,
+        Self::EndlessLine,
+        Self::Unavailable,
+        Self::Reset,
+        Self::Nonsense,
+    ];
+
+    /// Plays it on a watch, which is held open as long as the node holds it.
+    fn play(self, stream: &mut TcpStream) {
+        let line = list(2, false, &[]);
+        let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+        let text = match self {
+            Self::Unanswered => String::new(),
+            Self::HeadAlone => HEAD.to_owned(),
+            Self::Quiet => format!("{HEAD}{}{}", chunk("\n"), chunk("\n")),
+            Self::HalfLine | Self::EndlessLine | Self::Reset => format!("{HEAD}{}", chunk(&line[..20])),
+            Self::Unavailable => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            Self::Nonsense => format!("{HEAD}{}", chunk("{\"generation\":}\n")),
+        };
+        stream.write_all(text.as_bytes()).expect("an open connection");
+        if self == Self::Reset {
+            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            return;
+        }
+        stream.set_read_timeout(Some(Duration::from_millis(100))).expect("a socket");
+        let since = Instant::now();
+        while since.elapsed() < PATIENCE
+            && matches!(stream.read(&mut [0; 1]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+        {
+            if self == Self::EndlessLine && stream.write_all(chunk(" ").as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A node whose first watch goes wrong; the second says that the first of two servers drains. Tells how long that took
+/// from the first call on.
+fn told_after(fault: Fault, asked_for: bool) -> Duration {
+    let servers: Vec<_> = (0..2).map(|n| Server::start(move |_| Reply::ok(&n.to_string()))).collect();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let entry = |n: usize, state: &str| servers[n].entry(&format!("s-{n}"), state);
+    let known = list(1, true, &[entry(0, "ready"), entry(1, "ready")]);
+    let mut text = settings(15_000)
+        .replace("\"drain_grace_ms\":0.0", "\"drain_grace_ms\":2000.0,\"ask_within_ms\":10000.0");
+    if asked_for {
+        text = text.replace("automatic", "subscribe");
+    }
+    let node = Node::start(&config(address, &known, &text));
+    listener.set_nonblocking(true).expect("a socket");
+    let next = || {
+        let mut came = None;
+        until("the node calls", || {
+            came = listener.accept().ok();
+            came.is_some()
+        });
+        let (stream, _) = came.expect("it came");
+        stream.set_nonblocking(false).expect("a socket");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        let call = Message::read(&mut BufReader::new(&stream)).expect("a call");
+        (stream, call.first)
+    };
+    let (mut first, _) = next();
+    let since = Instant::now();
+    let held = std::thread::spawn(move || fault.play(&mut first));
+    let (mut second, call) = next();
+    let all_anew = !call.contains("from=");
+    assert_eq!(
+        all_anew,
+        fault == Fault::Nonsense,
+        "after what made no sense the whole list is asked for: {call}"
+    );
+    let drains = list(3, all_anew, &[entry(0, "draining"), entry(1, "ready")]) + "\n";
+    let chunk = format!("{HEAD}{:x}\r\n{drains}\r\n", drains.len());
+    second.write_all(chunk.as_bytes()).expect("an open connection");
+    until("the change is known", || {
+        (0..8)
+            .all(|n| node.ask(&read(&format!("{}-{n}", since.elapsed().as_micros()), "15000m")).body == b"1")
+    });
+    let took = since.elapsed();
+    held.join().expect("it has been played");
+    took
+}
+
+fn all_are_told_in_time(asked_for: bool) {
+    let played = Fault::ALL.map(|fault| (fault, std::thread::spawn(move || told_after(fault, asked_for))));
+    for (fault, told) in played {
+        let took = told.join().unwrap_or_else(|_| panic!("{fault:?}"));
+        assert!(took < COUNTS_AS_TOLD, "{fault:?}: {took:?}");
+    }
+}
+
+/// Guards the rule on when a change counts as told, whatever becomes of a watch.
+#[test]
+fn news_come_in_time_whatever_becomes_of_a_pushed_watch() {
+    all_are_told_in_time(false);
+}
+
+#[test]
+fn news_come_in_time_whatever_becomes_of_a_watch_that_is_asked_for() {
+    all_are_told_in_time(true);
+}
+
+/// Guards against a node that is told of another discovery while it waits to ask again, and asks that one for what has
+/// changed since a version of the other.
+#[test]
+fn a_discovery_that_is_new_is_asked_for_the_whole_list() {
+    let text = settings(15_000)
+        .replace("automatic", "subscribe")
+        .replace("\"drain_grace_ms\":0.0", "\"drain_grace_ms\":0.0,\"ask_within_ms\":600000.0");
+    let known = list(7, true, &[entry("s-0", Unreachable::start().address, "ready")]);
+    let (old, new) = (Discovery::start(), Discovery::start());
+    let node = Node::start(&config(old.address, &known, &text));
+    // One call after another fails at once, so that the node waits between two of them nearly all the time.
+    for _ in 0..6 {
+        assert!(old.watch().asked.contains("from=7"));
+    }
+    node.reload(&config(new.address, &known, &text));
+    assert!(!new.watch().asked.contains("from="), "versions are one discovery's own");
+}
