Begin no attempt for a client that has left, nor a repeat after its window

Servers::attempt looked, before the first byte, at drains and the deadline, but not whether anybody still waits: where settings allow no cancelling, the request went out on the late connection of a client that had left. 2. The module decides on a repeat within four fifths of the window; the driver sent it whenever its connection came up, after the window too: an effect could have happened twice.

Change: Message::until, set by the driver when a client leaves and, for a class that is keyed, to nine tenths of the window counted from the first attempt that may have run; can_go, the last look before anything is written, obeys it. What does not go out so surely never ran.

Tests, each seen to fail without the mend: nothing_goes_out_that_may_not_any_ more_when_its_connection_comes_up (src/net/back/servers/tests.rs), no_attempt_begins_for_a_client_that_left_while_a_connection_came_up and no_repeat_goes_out_once_its_window_is_over (tests/close_range.rs).

--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -42,7 +42,7 @@
         "drain:    curl -X PUT 'http://{}/v1/agent/service/maintenance/s-0?enable=true'",
         consul.address
     );
-    let _watch = discovery.watch().kept_alive();
+    let _watch = discovery.watch();
     let load = Load::start(address, CLIENTS, PAUSE);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(watch(&load, &servers, &consul));
--- a/src/net/back/mod.rs
+++ b/src/net/back/mod.rs
@@ -9,9 +9,10 @@
 pub mod servers;
 mod stream;
 
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use control::Counter;
@@ -36,6 +37,8 @@
     pub body: Asking,
     /// Counts the attempts whose last byte has gone out.
     pub sent: Counter,
+    /// From when on it may not begin to go out, if that is so.
+    pub until: Cell<Option<Instant>>,
 }
 
 /// The body of a request.
@@ -48,10 +51,12 @@
 }
 
 impl Message {
-    /// Whether it can go out: a body of which a part is gone cannot.
+    /// Whether it can go out: a body of which a part is gone cannot, and nothing goes for a client that has left, or
+    /// again once servers may have forgotten that it went before.
     #[must_use]
     pub fn can_go(&self) -> bool {
-        !matches!(&self.body, Asking::Passing(upload) if upload.is_spent())
+        self.until.get().is_none_or(|until| Instant::now() < until)
+            && !matches!(&self.body, Asking::Passing(upload) if upload.is_spent())
     }
 }
 
--- a/src/net/back/servers.rs
+++ b/src/net/back/servers.rs
@@ -359,7 +359,7 @@
                 Err(_) => return Ending::Unreachable.into(),
             };
             if !message.can_go() {
-                return gone.into(); // A part of it is gone, and its last byte never went out.
+                return gone.into(); // Its last byte never went out, and shall not.
             }
             // The last look before anything is written: the list may have changed while the connection came up.
             let now = Instant::now();
--- a/src/net/back/servers/tests.rs
+++ b/src/net/back/servers/tests.rs
@@ -13,6 +13,7 @@
         headers: HeaderMap::new(),
         body: Asking::Whole(Bytes::new()),
         sent: control::Counter::default(),
+        until: std::cell::Cell::default(),
     })
 }
 
@@ -55,6 +56,29 @@
     assert!(bytes.is_empty(), "nothing went out");
 }
 
+/// Guards against an attempt that begins for a client which left while it waited for its connection, and against a
+/// repeat whose connection comes up only after servers may have forgotten the attempt before.
+#[tokio::test]
+async fn nothing_goes_out_that_may_not_any_more_when_its_connection_comes_up() {
+    tokio::task::LocalSet::new().run_until(given_up_at_the_instant_of_a_send()).await;
+}
+
+async fn given_up_at_the_instant_of_a_send() {
+    let (listener, servers, _, deadline) = one_server();
+    let message = message();
+    let mut attempt = pin!(Rc::clone(&servers).attempt(ServerId(0), Rc::clone(&message), deadline, |_| ()));
+    let begun = attempt.as_mut().poll(&mut Context::from_waker(Waker::noop()));
+    assert!(begun.is_pending(), "it is on its way");
+    message.until.set(Some(Instant::now()));
+    let ended = tokio::time::timeout(Duration::from_secs(5), attempt).await.expect("it sends, and waits");
+    assert_eq!(ended.ending, Ending::NotSent);
+    drop(servers.standing.borrow_mut().drain().collect::<Vec<_>>());
+    let (mut connection, _) = listener.accept().expect("a connection");
+    let mut bytes = Vec::new();
+    io::Read::read_to_end(&mut connection, &mut bytes).expect("an end in order");
+    assert!(bytes.is_empty(), "nothing went out");
+}
+
 /// Guards against descriptors that are lost count of, and against dials that nobody waits for.
 #[tokio::test]
 async fn what_is_given_up_leaves_nothing() {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -34,6 +34,8 @@
 const LONGEST_COMING: Duration = Duration::from_secs(20 * 60);
 /// So many of the requests that a node ends with no answer to are told one by one.
 const MOST_TOLD: usize = 20;
+/// The part of a window for repeats in which one may begin to go out: it has to arrive in it, too.
+const REPEAT_PART: f64 = 0.9;
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -71,6 +73,10 @@
     coming: Option<Duration>,
     attempts: usize,
     out: Option<Out>,
+    /// From when on it may not be sent again, counted from the first attempt that may have run.
+    repeats_until: Option<Instant>,
+    /// How long servers drop repeats of it, where they do.
+    window: Option<Duration>,
 }
 
 /// Whether a server's answer is the request's.
@@ -368,7 +374,22 @@
         let deadline = self.before_the_end(arrived + time.saturating_sub(MARGIN));
         let (answer, answered) = oneshot::channel();
         let message = Rc::new(message);
-        let open = Open { answer: Some(answer), message, deadline, coming, attempts: 0, out: None };
+        let window = match self.names.rules[class].effect {
+            Effect::Keyed { window_ms, .. } => {
+                Duration::try_from_secs_f64(window_ms * REPEAT_PART / 1e3).ok()
+            }
+            Effect::Safe | Effect::Unsafe => None,
+        };
+        let open = Open {
+            answer: Some(answer),
+            message,
+            deadline,
+            coming,
+            attempts: 0,
+            out: None,
+            repeats_until: None,
+            window,
+        };
         self.open.borrow_mut().insert(number, open);
         self.wake_at(deadline, Due::Deadline(number));
         let budget = coming.unwrap_or_else(|| deadline.saturating_duration_since(Instant::now()));
@@ -444,6 +465,8 @@
             return self.outcome(number, attempt, Duration::ZERO, Ending::NotSent.into());
         }
         let message = Rc::clone(&request.message);
+        // Guards against a repeat whose connection comes up late: what counts is when it goes out.
+        message.until.set(request.repeats_until);
         let deadline = request.coming.map_or(request.deadline, |time| now + time);
         let driver = Rc::clone(self);
         let begin = move |served| driver.begun(number, attempt, served);
@@ -511,7 +534,15 @@
     }
 
     fn outcome(self: &Rc<Self>, number: u64, attempt: usize, elapsed: Duration, ended: Ended) {
-        let complete = self.open.borrow().get(&number).is_none_or(|request| request.answer.is_none());
+        let complete = {
+            let mut open = self.open.borrow_mut();
+            let request = open.get_mut(&number);
+            if let Some(request) = request.filter(|_| ended.ending.may_have_run()) {
+                let until = request.window.and_then(|window| (Instant::now() - elapsed).checked_add(window));
+                request.repeats_until = request.repeats_until.or(until);
+            }
+            open.get(&number).is_none_or(|request| request.answer.is_none())
+        };
         self.forget(number);
         self.feed(Event::Outcome(Outcome {
             request: RequestId(number),
@@ -577,7 +608,11 @@
     }
 
     fn client_gone(self: &Rc<Self>, number: u64) {
-        let owed = self.open.borrow_mut().get_mut(&number).and_then(|request| request.answer.take());
+        let owed = self.open.borrow_mut().get_mut(&number).and_then(|request| {
+            // Its attempt may still wait for a connection, where settings allow none to be cancelled.
+            request.message.until.set(Some(Instant::now()));
+            request.answer.take()
+        });
         if owed.is_some() {
             self.forget(number);
             self.feed(Event::ClientGone(RequestId(number)));
--- a/src/net/front/clients.rs
+++ b/src/net/front/clients.rs
@@ -466,7 +466,7 @@
             (Asking::Passing(Upload::new(first, rest)), Some(feeder))
         }
     };
-    let message = Message { method: head.method, uri, headers, body, sent };
+    let message = Message { method: head.method, uri, headers, body, sent, until: Cell::default() };
     let Some(mut taken) = driver.take(class, tenant, key, message, arrived, time) else {
         return Ok(Answer::Refused { after_ms: None });
     };
--- a/tests/close_range.rs
+++ b/tests/close_range.rs
@@ -241,3 +241,88 @@
     front.turn_until("the node ends", || front.serving.is_finished());
     assert!(front.server.requests().is_empty(), "none was sent on");
 }
+
+/// A server whose connections come up late: its queue is full, so that the system drops the first word of a dial, which
+/// is said again a second later.
+struct Late {
+    listener: socket2::Socket,
+    address: std::net::SocketAddr,
+    _first: TcpStream,
+}
+
+impl Late {
+    fn start() -> Self {
+        let listener =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+        listener.bind(&any.into()).expect("a port");
+        listener.listen(0).expect("it listens");
+        let address = listener.local_addr().expect("an address").as_socket().expect("of IPv4");
+        Self { _first: TcpStream::connect(address).expect("there is room for one"), listener, address }
+    }
+
+    /// Makes room, and tells what comes on the connection that comes up then; `None`: none does.
+    fn comes_up(self) -> Option<Vec<u8>> {
+        self.listener.set_nonblocking(true).expect("a socket");
+        let mut came = Vec::new();
+        let since = Instant::now();
+        while came.len() < 2 && since.elapsed() < Duration::from_secs(4) {
+            came.extend(self.listener.accept().ok());
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        let (connection, _) = came.into_iter().nth(1)?;
+        connection.set_nonblocking(false).expect("a socket");
+        connection.set_read_timeout(Some(Duration::from_millis(500))).expect("a socket");
+        let (mut stream, mut read) = (TcpStream::from(connection), [0; 4096]);
+        let bytes = stream.read(&mut read).unwrap_or(0);
+        Some(read[..bytes].to_vec())
+    }
+}
+
+/// Long enough for a node to see what has come, on a machine that is not busy; where it is, a crossing is tried again.
+const A_WHILE: Duration = Duration::from_millis(200);
+
+/// Guards against an attempt that begins for a client which left while the connection to its server was coming up, where
+/// settings allow no attempt to be cancelled.
+#[test]
+fn no_attempt_begins_for_a_client_that_left_while_a_connection_came_up() {
+    let crossed = (0..5).find_map(|_| {
+        let late = Late::start();
+        let known = list(1, true, &[entry("s-0", late.address, "ready")]);
+        let text = settings(600_000).replace("\"cancel\":true", "\"cancel\":false");
+        let node = Node::start(&config(Unreachable::start().address, &known, &text));
+        let mut client = node.connect();
+        client.send(&read("left", "600000m"));
+        std::thread::sleep(A_WHILE);
+        drop(client);
+        std::thread::sleep(A_WHILE);
+        late.comes_up()
+    });
+    assert_eq!(crossed.map(|bytes| String::from_utf8_lossy(&bytes).into_owned()), Some(String::new()));
+}
+
+/// Guards against an effect that happens twice: a repeat is within the window when it is decided on, and its connection
+/// comes up after the window's end.
+#[test]
+fn no_repeat_goes_out_once_its_window_is_over() {
+    let crossed = (0..5).find_map(|_| {
+        let closes = Server::start(|_| {
+            std::thread::sleep(A_WHILE);
+            Reply::Close
+        });
+        let late = Late::start();
+        let discovery = Discovery::start();
+        let known = list(1, true, &[closes.entry("s-0", "ready")]);
+        let text = settings(15_000).replace("\"dedup_window_ms\":60000.0", "\"dedup_window_ms\":900.0");
+        let node = Node::start(&config(discovery.address, &known, &text));
+        let mut watch = discovery.watch();
+        let mut client = node.connect();
+        client.send(&post("once", "hold", "Idempotency-Key: 5c0f\r\n", "x"));
+        until("the first attempt is out", || closes.requests().len() == 1);
+        watch.say(&(list(2, false, &[entry("s-1", late.address, "ready")]) + "\n"));
+        std::thread::sleep(2 * A_WHILE);
+        late.comes_up().map(|bytes| (bytes, client.answer().expect("an answer").status()))
+    });
+    let (bytes, status) = crossed.expect("the repeat was on its way");
+    assert_eq!((String::from_utf8_lossy(&bytes).into_owned(), status), (String::new(), 503));
+}
