Prove bounds under pressure, resets at every byte, and the cold budget of all nodes

No fault was found by these; each line says what it would have caught.

- a_reset_is_no_end_of_an_answer_wherever_it_comes: an answer with a length, in chunks or up to the end of its connection, reset behind each of its bytes, is passed on as whole only where it is; one attempt for an unsafe request.
- idle_clients_leave_room_for_discovery_and_servers: four times as many silent clients as descriptors while discovery is away; the limit holds, and the list comes at its return.
- many_processes_are_ready_at_once_while_discovery_answers_nobody: twenty.
- floods_and_slow_clients_cost_a_bounded_share: under 64 MB, others served.

--- a/tests/close_range.rs
+++ b/tests/close_range.rs
@@ -193,6 +193,7 @@
             assert!(answer.to_ascii_lowercase().contains("connection: close"), "{case}");
             assert!(in_order, "{case}");
             assert_eq!(front.server.requests().len(), 1, "{case}");
+            drop(client);
             front.turn_until("the node ends", || front.serving.is_finished());
         }
     }
@@ -326,3 +327,47 @@
     let (bytes, status) = crossed.expect("the repeat was on its way");
     assert_eq!((String::from_utf8_lossy(&bytes).into_owned(), status), (String::new(), 503));
 }
+
+/// A server that answers each request with so many bytes of an answer, and resets the connection; `cuts` says how many,
+/// one connection after the other.
+fn cutting(answer: &'static [u8], cuts: std::ops::RangeInclusive<usize>) -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for cut in cuts {
+            let Ok((mut stream, _)) = listener.accept() else { return };
+            let request = Message::read(&mut std::io::BufReader::new(&stream)).expect("a request");
+            stream.write_all(&answer[..cut]).expect("an open connection");
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            assert_eq!(request.header("req-id"), Some(format!("cut-{cut}").as_str()), "one attempt each");
+        }
+    });
+    address
+}
+
+/// Guards against an answer that is passed on as whole though its connection was reset: where it tells no length, a reset
+/// is no end, at whichever byte; and against an answer that was whole by its length and is thrown away for a reset behind
+/// it. Each request is unsafe to repeat, so each is asked of the server once.
+#[test]
+fn a_reset_is_no_end_of_an_answer_wherever_it_comes() {
+    const ENDLESS: &[u8] = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfive rooms";
+    const TOLD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfive rooms";
+    const CHUNKED: &[u8] =
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nfive rooms\r\n0\r\n\r\n";
+    for (answer, ends) in [(ENDLESS, false), (TOLD, true), (CHUNKED, true)] {
+        let address = cutting(answer, 0..=answer.len());
+        let known = list(1, true, &[entry("s-0", address, "ready")]);
+        let node = Node::start(&config(Unreachable::start().address, &known, &settings(15_000)));
+        for cut in 0..=answer.len() {
+            let got = node.ask(&post(&format!("cut-{cut}"), "pay", "", "x"));
+            let is_whole = ends && cut == answer.len();
+            assert_eq!(
+                got.status() == 200,
+                is_whole,
+                "cut at {cut} of {:?}",
+                String::from_utf8_lossy(answer)
+            );
+            assert!(!is_whole || got.body == b"five rooms");
+        }
+    }
+}
--- /dev/null
+++ b/tests/pressure.rs
@@ -0,0 +1,123 @@
+//! Clients that fill, flood or hold a node, and many processes that start at once: bounds hold and others are served.
+
+use std::io::{BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use testkit::*;
+
+fn descriptors(node: &Node) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", node.process())).expect("it runs").count()
+}
+
+fn resident_kb(node: &Node) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node.process())).expect("it runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a figure");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+/// Guards against idle clients that take the descriptors which a node needs to hear of its servers, and against a node
+/// that goes beyond its limit meanwhile: discovery is out of reach, comes back, and is heard.
+#[test]
+fn idle_clients_leave_room_for_discovery_and_servers() {
+    const LIMIT: usize = 64;
+    let server = Server::start(|_| Reply::ok("yes"));
+    let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = discovery.local_addr().expect("an address");
+    let text = config(address, &list(1, true, &[]), &settings(15_000)).replace("1024", &LIMIT.to_string());
+    let node = Node::start(&text);
+    // Nobody takes the node's calls; four times as many clients come as it may have descriptors, and say nothing.
+    let mut idle: Vec<_> = (0..4 * LIMIT).filter_map(|_| TcpStream::connect(node.address).ok()).collect();
+    let mut most = 0;
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(1) {
+        most = most.max(descriptors(&node));
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let said = list(2, true, &[server.entry("s-0", "ready")]) + "\n";
+    let taking = std::thread::spawn(move || {
+        let mut held = Vec::new();
+        while let Ok((mut stream, _)) = discovery.accept() {
+            let Some(_call) = Message::read(&mut BufReader::new(&stream)) else { continue };
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            // Calls that were given up meanwhile lie before the one that the node waits for.
+            let _ = stream.write_all(format!("{head}{:x}\r\n{said}\r\n", said.len()).as_bytes());
+            held.push(stream);
+        }
+    });
+    until("a request is served", || {
+        most = most.max(descriptors(&node));
+        let mut client = node.connect();
+        client.try_send(&read(&format!("{}", since.elapsed().as_micros()), "15000m"))
+            && client.answer().is_some_and(|answer| answer.status() == 200)
+    });
+    assert!(most <= LIMIT, "{most} of {LIMIT} descriptors");
+    idle.clear();
+    drop(taking); // It ends with the process.
+}
+
+/// Guards against readiness that waits for discovery: many processes start at once, while it answers nobody.
+#[test]
+fn many_processes_are_ready_at_once_while_discovery_answers_nobody() {
+    let nobody = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let server = Server::start(|_| Reply::ok("yes"));
+    let known = list(1, true, &[server.entry("s-0", "ready")]);
+    let text = config(nobody.local_addr().expect("an address"), &known, &settings(15_000));
+    let since = Instant::now();
+    let started: Vec<_> = (0..20)
+        .map(|_| {
+            let text = text.clone();
+            std::thread::spawn(move || {
+                let node = Node::start(&text);
+                (node.ask("GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status(), node)
+            })
+        })
+        .collect();
+    let up = started.into_iter().map(|node| node.join().expect("it starts")).filter(|up| up.0 == 200).count();
+    assert_eq!(up, 20);
+    assert!(since.elapsed() < Duration::from_secs(10), "{:?}", since.elapsed());
+}
+
+/// Guards against memory that grows with what clients send and do not read, against their requests going out once they
+/// have left, and against others that find nobody meanwhile.
+#[test]
+fn floods_and_slow_clients_cost_a_bounded_share() {
+    const MOST_KB: usize = 64 * 1024;
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery, _watch) = Node::with(&[&server], 15_000);
+    let ends = Arc::new(AtomicBool::new(false));
+    let mut peers = Vec::new();
+    let flood = read("flood", "15000m").repeat(50);
+    for at in 0..24 {
+        let (address, ends) = (node.address, Arc::clone(&ends));
+        // A third writes requests and reads nothing, a third what is no request, a third one byte at a time.
+        let piece = match at % 3 {
+            0 => flood.clone().into_bytes(),
+            1 => vec![b'x'; 64 * 1024],
+            _ => b"G".to_vec(),
+        };
+        peers.push(std::thread::spawn(move || {
+            while !ends.load(Ordering::SeqCst) {
+                let Ok(mut stream) = TcpStream::connect(address) else { continue };
+                let _ = stream.set_write_timeout(Some(Duration::from_millis(100)));
+                while !ends.load(Ordering::SeqCst) && stream.write_all(&piece).is_ok() {
+                    if piece.len() == 1 {
+                        std::thread::sleep(Duration::from_millis(20));
+                    }
+                }
+            }
+        }));
+    }
+    let mut most = 0;
+    for n in 0..100 {
+        let answer =
+            node.ask_until_taken(&post(&format!("fair-{n}"), "hold", "Idempotency-Key: 5c0f\r\n", "x"));
+        assert_eq!(answer.status(), 200, "request {n}");
+        most = most.max(resident_kb(&node));
+    }
+    ends.store(true, Ordering::SeqCst);
+    peers.into_iter().for_each(|peer| peer.join().expect("it ends"));
+    assert!(most < MOST_KB, "{most} kB");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1200,3 +1200,82 @@
     assert!(refusals[0] * 2 > asked[0], "the near aim is out of reach: {refusals:?} of {asked:?}");
     assert!(refusals[2] * 10 < asked[2] * 7, "the distant aim is not: {refusals:?} of {asked:?} refused");
 }
+
+/// Requests that all nodes together send a second to each of `SERVERS` servers, before some of them start anew.
+const RATE: f64 = 27.0;
+const SERVERS: usize = 12;
+
+/// The most that any of four servers, which start at once, gets in 1.5 s from so many nodes together: each sees as much
+/// as the others, or the first of them three times as much; half of them are restarted a second later, or none.
+fn most_to_a_cold_server(nodes: usize, uneven: bool, restarts: bool, seed: u64) -> usize {
+    let starts_at = 9_000.0;
+    let listed = |now: f64| {
+        let mut entries = ready(0..SERVERS);
+        for entry in entries[8..].iter_mut().filter(|_| now >= starts_at) {
+            (entry.server, entry.started_at) = (ServerId(entry.server.0 + 1_000), Some(starts_at));
+        }
+        entries
+    };
+    let start = |me: usize, now: f64, life: u64| {
+        let mut settings = one_class(Effect::Safe);
+        (settings.nodes, settings.me) = (nodes, me);
+        (settings.cold_from, settings.cold_ms) = (0.35, 8_000.0);
+        (settings.tip_multiple, settings.tip_after_ms) = (3.0, 1_500.0);
+        let mut node = Node::new(settings, seed << 32 | (me as u64) << 8 | life);
+        node.now = now;
+        node.servers(listed(now));
+        node
+    };
+    let mut sends = std::collections::BTreeMap::<usize, Vec<f64>>::new();
+    let parts = nodes as f64 + if uneven { 2.0 } else { 0.0 };
+    for me in 0..nodes {
+        let part = if uneven && me == 0 { 3.0 } else { 1.0 } / parts;
+        let mean_gap = 1e3 / (RATE * SERVERS as f64 * part);
+        let mut random = fastrand::Rng::with_seed(seed ^ (me as u64) << 16);
+        let (mut node, mut id, mut started, mut restarted) =
+            (start(me, 1_000.0, 0), 0, false, !restarts || me % 2 == 1);
+        loop {
+            let now = node.now - mean_gap * (1.0 - random.f64()).ln();
+            if now > starts_at + 6_000.0 {
+                break;
+            }
+            node.now = now;
+            if !std::mem::replace(&mut started, now >= starts_at) && started {
+                node.servers(listed(now));
+            }
+            if !restarted && now > starts_at + 1_000.0 {
+                (node, restarted) = (start(me, now, 1), true);
+            }
+            id += 1;
+            if let Some(server) = send_of(&node.request(id, 0, 700.0)) {
+                sends.entry(server).or_default().push(now);
+                node.end(id, 0, 60.0, Ending::Served);
+            }
+        }
+    }
+    let mut cold: Vec<_> = sends.split_off(&1_000).into_values().collect();
+    assert_eq!(cold.len(), 4, "cold servers are used at all");
+    cold.iter_mut().for_each(|times| times.sort_by(f64::total_cmp));
+    let within =
+        |times: &[f64], from: f64| times.iter().filter(|t| (from..from + 1_500.0).contains(*t)).count();
+    cold.iter().flat_map(|times| times.iter().map(|from| within(times, *from))).max().expect("some were sent")
+}
+
+/// Guards cold servers against the sum of what all nodes send, be they few or many, where traffic is uneven and where
+/// nodes are restarted that then remember nothing of what they sent: beyond the budget of N only 2 root N + 2 is chance.
+#[test]
+fn cold_servers_bear_the_sum_of_few_nodes_and_of_many() {
+    let budget = 3.0 * 0.35 * RATE * 1.5;
+    let bears = budget + 2.0 * budget.sqrt() + 2.0;
+    for nodes in [2, 5, 20, 30, 300] {
+        for (uneven, restarts) in [(false, false), (true, false), (false, true), (true, true)] {
+            let most =
+                (0..3).map(|seed| most_to_a_cold_server(nodes, uneven, restarts, seed)).max().expect("three");
+            println!("{nodes} nodes, uneven {uneven}, restarts {restarts}: {most} of {bears:.0}");
+            assert!(
+                most as f64 <= bears,
+                "{nodes} nodes, uneven: {uneven}, restarts: {restarts}: {most} > {bears:.0}"
+            );
+        }
+    }
+}
