--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -672,7 +672,7 @@
     }
 
     /// Tells the operators of requests that the node ends with no answer to, by the ids that clients gave them: at the
-    /// most [`MOST_TOLD`] of them, and how many there are.
+    /// most `MOST_TOLD` of them, and how many there are.
     pub fn report_unanswered(&self) {
         let (open, now) = (self.open.borrow(), Instant::now());
         let mut owed: Vec<_> = open.iter().filter(|(_, request)| request.answer.is_some()).collect();
