Give the front end's types the field's names

Change: Hall and Entrance are FrontState and FrontOptions; Places, Place and Guest are ConnectionTable, TrackedConnection and ConnectionGuard (places.rs is connections.rs); Stage::Over is Lingering; the phases HandOver and Closing are Draining and ShuttingDown; Meaning is RequestMetadata; Asking and Answering are RequestBody and ResponseBody. No behaviour changes.

--- a/crates/measure/src/bin/allocations.rs
+++ b/crates/measure/src/bin/allocations.rs
@@ -8,7 +8,7 @@
 
 use silverthread::net::config::Config;
 use silverthread::net::driver::Driver;
-use silverthread::net::front::clients::{self, Entrance, Phase};
+use silverthread::net::front::clients::{self, FrontOptions, Phase};
 use testkit::{config, list, read, settings, Client, Reply, Server};
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
@@ -48,7 +48,7 @@
         tell.send(listener.local_addr().expect("an address")).expect("somebody waits");
         let (_phase, phases) = watch::channel(Phase::Serving);
         tokio::select! {
-            () = clients::serve(listener, Rc::clone(&driver), Entrance::own(phases, 100)) => {}
+            () = clients::serve(listener, Rc::clone(&driver), FrontOptions::own(phases, 100)) => {}
             _ = ended => {}
         }
     });
--- a/src/net/back/http1/exchange.rs
+++ b/src/net/back/http1/exchange.rs
@@ -22,7 +22,7 @@
 use super::sending::Sending;
 use crate::net::back::answers::{ending, read_report, MOST_BODY, MOST_PASSED};
 use crate::net::back::stream::Stream;
-use crate::net::back::{Answering, Broken, Ended, Message, Served};
+use crate::net::back::{Broken, Ended, Message, ResponseBody, Served};
 use crate::net::front::passing::{passing, Cut, Feeder, Passing};
 use crate::net::operate::log;
 use crate::Ending;
@@ -124,7 +124,7 @@
         let ending = ending(head.status, declined);
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
         let served = |body| Served { status: head.status, body, content_type: content_type.clone() };
-        let begin = |passing| begin(served(Answering::Passing(passing)));
+        let begin = |passing| begin(served(ResponseBody::Passing(passing)));
         let begin: Option<&dyn Fn(Passing)> = if ending == Ending::Served { Some(&begin) } else { None };
         let read = self.read_body(&head, body, stall, begin).await;
         if read.is_err() {
@@ -138,7 +138,7 @@
             (Ending::Rejected, read) => (Ending::Rejected, Some(read.ok().flatten().unwrap_or_default())),
             (ending, _) => (ending, None),
         };
-        Ended { ending, report, served: body.map(|body| served(Answering::Whole(body))) }
+        Ended { ending, report, served: body.map(|body| served(ResponseBody::Whole(body))) }
     }
 
     /// Reads an answer's body, as far as it can be held; one that is longer is passed on, where `begin` is given, and
--- a/src/net/back/http1/sending.rs
+++ b/src/net/back/http1/sending.rs
@@ -8,7 +8,7 @@
 use http_body::{Body, Frame, SizeHint};
 
 use super::metered::Traffic;
-use crate::net::back::{Asking, Message};
+use crate::net::back::{Message, RequestBody};
 use crate::net::front::passing::{Next, Passing, Unfinished};
 
 /// The body as one attempt sends it. What follows the beginning is taken once it is asked for, and then no other attempt
@@ -26,8 +26,8 @@
     #[must_use]
     pub fn new(message: &Rc<Message>, traffic: &Rc<Traffic>) -> Self {
         let (first, told) = match &message.body {
-            Asking::Whole(body) => (body.clone(), Some(body.len() as u64)),
-            Asking::Passing(upload) => {
+            RequestBody::Whole(body) => (body.clone(), Some(body.len() as u64)),
+            RequestBody::Passing(upload) => {
                 traffic.expect_more();
                 (upload.first(), upload.told())
             }
@@ -39,7 +39,7 @@
     /// Whether all of it is here.
     #[must_use]
     pub fn is_held(&self) -> bool {
-        matches!(self.message.body, Asking::Whole(_))
+        matches!(self.message.body, RequestBody::Whole(_))
     }
 
     fn is_out(&mut self) {
@@ -56,7 +56,7 @@
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         let message = Rc::clone(&self.message);
-        let Asking::Passing(upload) = &message.body else { return Poll::Ready(None) };
+        let RequestBody::Passing(upload) = &message.body else { return Poll::Ready(None) };
         if self.rest.is_none() {
             self.rest = upload.take_rest();
         }
--- a/src/net/back/mod.rs
+++ b/src/net/back/mod.rs
@@ -34,7 +34,7 @@
     /// The client's headers without those of its connection.
     pub headers: HeaderMap,
     /// As the client sent it, or sends it.
-    pub body: Asking,
+    pub body: RequestBody,
     /// Counts the attempts whose last byte has gone out.
     pub sent: Counter,
     /// From when on it may not begin to go out, if that is so.
@@ -43,7 +43,7 @@
 
 /// The body of a request.
 #[derive(Debug)]
-pub enum Asking {
+pub enum RequestBody {
     /// It is here.
     Whole(Bytes),
     /// Its client is sending it yet.
@@ -56,7 +56,7 @@
     #[must_use]
     pub fn can_go(&self) -> bool {
         self.until.get().is_none_or(|until| Instant::now() < until)
-            && !matches!(&self.body, Asking::Passing(upload) if upload.is_spent())
+            && !matches!(&self.body, RequestBody::Passing(upload) if upload.is_spent())
     }
 }
 
@@ -66,14 +66,14 @@
     /// 200, or what the server objects to in the request.
     pub status: StatusCode,
     /// The body, unchanged.
-    pub body: Answering,
+    pub body: ResponseBody,
     /// Its type, where the server named one.
     pub content_type: Option<HeaderValue>,
 }
 
 /// The body of an answer.
 #[derive(Debug)]
-pub enum Answering {
+pub enum ResponseBody {
     /// It is here.
     Whole(Bytes),
     /// It is passed on as it comes.
--- a/src/net/back/servers/tests.rs
+++ b/src/net/back/servers/tests.rs
@@ -2,7 +2,7 @@
 use std::pin::pin;
 use std::task::{Context, Waker};
 
-use crate::net::back::Asking;
+use crate::net::back::RequestBody;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 
@@ -11,7 +11,7 @@
         method: Method::GET,
         uri: Uri::from_static("/api"),
         headers: HeaderMap::new(),
-        body: Asking::Whole(Bytes::new()),
+        body: RequestBody::Whole(Bytes::new()),
         sent: control::Counter::default(),
         until: std::cell::Cell::default(),
     })
@@ -135,7 +135,7 @@
         )]));
         servers.update(&[(ServerId(0), &Host::named("s-0"))]);
         // More than the system takes for a connection whose other end reads nothing.
-        let body = Asking::Whole(Bytes::from(vec![b'x'; 32 << 20]));
+        let body = RequestBody::Whole(Bytes::from(vec![b'x'; 32 << 20]));
         let message =
             Rc::new(Message { method: Method::POST, body, ..Rc::into_inner(message()).expect("one") });
         let deadline = Instant::now() + Duration::from_secs(60);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -13,7 +13,7 @@
 
 use crate::net::back::addresses::AllSaid;
 use crate::net::back::servers::{Bounds, Servers, Underway};
-use crate::net::back::{Asking, Ended, Message, Served};
+use crate::net::back::{Ended, Message, RequestBody, Served};
 use crate::net::clock::Clock;
 use crate::net::config::{Config, ConfigError, Names};
 use crate::net::operate::log;
@@ -369,7 +369,7 @@
         }
         let number = self.next_request.get();
         self.next_request.set(number + 1);
-        let coming = Some(time).filter(|_| matches!(message.body, Asking::Passing(_)));
+        let coming = Some(time).filter(|_| matches!(message.body, RequestBody::Passing(_)));
         let time = coming.map_or(time, |_| LONGEST_COMING);
         let deadline = self.before_the_end(arrived + time.saturating_sub(MARGIN));
         let (answer, answered) = oneshot::channel();
--- a/src/net/front/clients.rs
+++ b/src/net/front/clients.rs
@@ -24,11 +24,11 @@
 use tokio::sync::watch;
 
 use crate::net::back::answers::{MOST_BODY, MOST_HELD, MOST_PASSED};
-use crate::net::back::{Answering, Asking, Message, Served};
+use crate::net::back::{Message, RequestBody, ResponseBody, Served};
 use crate::net::config::Limits;
 use crate::net::driver::{Answer, Driver};
+use crate::net::front::connections::{ConnectionGuard, ConnectionTable, Stage, TrackedConnection};
 use crate::net::front::passing::{passing, Feeder, Outgoing, Passed, Upload};
-use crate::net::front::places::{Guest, Place, Places, Stage};
 use crate::net::front::socket::Socket;
 use crate::net::operate::log;
 use crate::Effect;
@@ -86,16 +86,16 @@
     /// It serves.
     Serving,
     /// It is told to stop, and serves on: new connections still come, and clients keep to those they have.
-    HandOver(Instant),
+    Draining(Instant),
     /// No more connections are taken, those between requests are closed, and each answer ends its connection.
-    Closing(Instant),
+    ShuttingDown(Instant),
 }
 
 impl Phase {
     /// Whether nothing new is taken.
     #[must_use]
-    pub fn is_closing(&self) -> bool {
-        matches!(self, Self::Closing(_))
+    pub fn is_shutting_down(&self) -> bool {
+        matches!(self, Self::ShuttingDown(_))
     }
 
     /// By when all must be answered, where that is so.
@@ -103,14 +103,14 @@
     pub fn answer_by(&self) -> Option<Instant> {
         match self {
             Self::Serving => None,
-            Self::HandOver(by) | Self::Closing(by) => Some(*by),
+            Self::Draining(by) | Self::ShuttingDown(by) => Some(*by),
         }
     }
 }
 
 /// Where clients come in, and how long they may stay.
 #[derive(Clone)]
-pub struct Entrance {
+pub struct FrontOptions {
     /// How far the node is on its way out.
     pub phases: watch::Receiver<Phase>,
     /// Whether operators send its clients away.
@@ -123,7 +123,7 @@
     pub room: usize,
 }
 
-impl Entrance {
+impl FrontOptions {
     /// Through a listening socket of the node's own, with no drain.
     #[must_use]
     pub fn own(phases: watch::Receiver<Phase>, most: usize) -> Self {
@@ -133,68 +133,68 @@
 }
 
 /// What the connections of clients share.
-struct Hall {
+struct FrontState {
     driver: Rc<Driver>,
-    entrance: Entrance,
+    options: FrontOptions,
     phases: watch::Receiver<Phase>,
-    places: Rc<Places>,
+    table: Rc<ConnectionTable>,
     room: Room,
     /// The ids of the requests that are being read or served.
     open: RefCell<HashSet<HeaderValue>>,
 }
 
-/// Serves clients until the phase is [`Phase::Closing`] and all that was taken is answered, at the instant that it
+/// Serves clients until the phase is [`Phase::ShuttingDown`] and all that was taken is answered, at the instant that it
 /// names at the latest, and [`LAST_WRITES`] later: a client that does not read its answer must not hold up the end.
-pub async fn serve(listener: TcpListener, driver: Rc<Driver>, entrance: Entrance) {
-    let places = Places::new(entrance.most);
-    let phases = entrance.phases.clone();
-    let hall = Rc::new(Hall {
+pub async fn serve(listener: TcpListener, driver: Rc<Driver>, options: FrontOptions) {
+    let table = ConnectionTable::new(options.most);
+    let phases = options.phases.clone();
+    let state = Rc::new(FrontState {
         driver,
         phases: phases.clone(),
-        room: Room::new(entrance.room),
-        entrance,
-        places: Rc::clone(&places),
+        room: Room::new(options.room),
+        options,
+        table: Rc::clone(&table),
         open: RefCell::default(),
     });
     let end = async {
-        accept(&listener, &places, &hall, phases).await;
+        accept(&listener, &table, &state, phases).await;
         drop(listener);
-        let by = hall.phases.borrow().answer_by().unwrap_or_else(Instant::now);
-        if tokio::time::timeout_at((by + LAST_WRITES).into(), places.all_left()).await.is_err() {
+        let by = state.phases.borrow().answer_by().unwrap_or_else(Instant::now);
+        if tokio::time::timeout_at((by + LAST_WRITES).into(), table.all_left()).await.is_err() {
             log::line("a client did not take its answer in time");
-            hall.driver.report_unanswered();
+            state.driver.report_unanswered();
         }
     };
-    let mut stops = hall.phases.clone();
+    let mut stops = state.phases.clone();
     let holding = async {
         let by = stops.wait_for(|phase| *phase != Phase::Serving).await.ok().and_then(|now| now.answer_by());
         if let Some(by) = by {
-            hall.driver.end_by(by);
+            state.driver.end_by(by);
         }
-        if !hall.entrance.is_shared {
-            places.hold();
+        if !state.options.is_shared {
+            table.hold();
         }
         std::future::pending::<()>().await;
     };
     tokio::select! {
         () = end => {}
         () = holding => {}
-        () = places.look_over(|| hall.stay()) => {}
+        () = table.look_over(|| state.stay()) => {}
     }
 }
 
-impl Hall {
+impl FrontState {
     /// Whether the front should send clients here.
     fn admits(&self) -> bool {
-        self.entrance.drain.get().admits()
+        self.options.drain.get().admits()
     }
 
     /// How long clients' connections may stay.
     fn stay(&self) -> Stay {
-        let drains = self.entrance.drain.get().stay(self.driver.now_ms());
+        let drains = self.options.drain.get().stay(self.driver.now_ms());
         let leaves = match *self.phases.borrow() {
-            Phase::Closing(_) => Stay::Leave,
-            Phase::HandOver(_) if self.entrance.is_shared => Stay::OneMore,
+            Phase::ShuttingDown(_) => Stay::Leave,
+            Phase::Draining(_) if self.options.is_shared => Stay::OneMore,
             _ => Stay::Any,
         };
         drains.max(leaves)
@@ -202,21 +202,21 @@
 
     /// Waits until no more connections are to be taken.
     async fn last_accept(&self, phases: &mut watch::Receiver<Phase>) {
-        if self.entrance.is_shared {
+        if self.options.is_shared {
             let _ = phases.wait_for(|phase| *phase != Phase::Serving).await;
             return tokio::time::sleep(STILL_DEALT).await;
         }
-        let _ = phases.wait_for(Phase::is_closing).await;
+        let _ = phases.wait_for(Phase::is_shutting_down).await;
     }
 }
 
 async fn accept(
     listener: &TcpListener,
-    places: &Rc<Places>,
-    hall: &Rc<Hall>,
+    table: &Rc<ConnectionTable>,
+    state: &Rc<FrontState>,
     mut phases: watch::Receiver<Phase>,
 ) {
-    let mut closing = pin!(hall.last_accept(&mut phases));
+    let mut closing = pin!(state.last_accept(&mut phases));
     loop {
         // What has come is taken before the end of the hand-over is looked at: it would be reset.
         let accepted = tokio::select! {
@@ -226,8 +226,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let guest = places.take().await;
-                drop(tokio::task::spawn_local(connection(stream, Rc::clone(hall), guest)));
+                let guard = table.take().await;
+                drop(tokio::task::spawn_local(connection(stream, Rc::clone(state), guard)));
             }
             Err(error) => {
                 log::line(format_args!("cannot accept a connection: {error}"));
@@ -237,12 +237,12 @@
     }
 }
 
-async fn connection(stream: TcpStream, hall: Rc<Hall>, guest: Guest) {
+async fn connection(stream: TcpStream, state: Rc<FrontState>, guard: ConnectionGuard) {
     if let Err(error) = stream.set_nodelay(true) {
         return log::line(format_args!("cannot set up a connection: {error}"));
     }
-    let socket = Socket::new(stream, guest);
-    if converse(&socket, &hall).await == Left::InOrder {
+    let socket = Socket::new(stream, guard);
+    if converse(&socket, &state).await == Left::InOrder {
         linger(&socket).await;
     }
 }
@@ -256,22 +256,22 @@
     Cut,
 }
 
-async fn converse(socket: &Socket, hall: &Hall) -> Left {
-    let (place, number) = (&socket.place, Cell::new(0));
+async fn converse(socket: &Socket, state: &FrontState) -> Left {
+    let (tracked, number) = (&socket.tracked, Cell::new(0));
     let service = service_fn(|request| {
         let this = number.get() + 1;
         number.set(this);
         async move {
-            socket.guest.asks();
+            socket.guard.asks();
             let doubtful = socket.framing.borrow().is_doubtful(this);
             let mut response = match doubtful {
                 true => plain(StatusCode::BAD_REQUEST, "the length is told in more than one way\n"),
-                false => respond(request, hall, place).await,
+                false => respond(request, state, tracked).await,
             };
-            place.enter(Stage::Answer);
-            place.set_passing(matches!(response.body(), Outgoing::Passing(..)));
-            let leaves = hall.stay() > Stay::Any || socket.framing.borrow().is_last(this);
-            if leaves || hall.places.wants_room(place) {
+            tracked.enter(Stage::Answer);
+            tracked.set_passing(matches!(response.body(), Outgoing::Passing(..)));
+            let leaves = state.stay() > Stay::Any || socket.framing.borrow().is_last(this);
+            if leaves || state.table.wants_room(tracked) {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -280,10 +280,10 @@
     let connection =
         http1::Builder::new().max_buf_size(BUFFER).serve_connection(TokioIo::new(socket.clone()), service);
     let mut connection = pin!(connection);
-    let mut phases = hall.phases.clone();
-    let mut closing = pin!(phases.wait_for(Phase::is_closing));
+    let mut phases = state.phases.clone();
+    let mut closing = pin!(phases.wait_for(Phase::is_shutting_down));
     let mut gone = pin!(socket.client_gone());
-    let mut is_closing = false;
+    let mut is_shutting_down = false;
     loop {
         tokio::select! {
             biased;
@@ -296,14 +296,14 @@
             () = gone.as_mut() => return Left::Cut,
             // One that rests is closed, and what comes on it from then on is read by nobody. A request that is on it is
             // answered; one that has begun to come is taken once it is whole, and its answer is the last.
-            _ = &mut closing, if !is_closing => {
-                is_closing = true;
-                if matches!(place.stage(), Stage::Request | Stage::Answer) || socket.rests() {
+            _ = &mut closing, if !is_shutting_down => {
+                is_shutting_down = true;
+                if matches!(tracked.stage(), Stage::Request | Stage::Answer) || socket.rests() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = place.asked_to_leave() => match parting(place.stage(), || socket.rests(), || socket.has_news()) {
-                _ if !place.should_leave() => {}
+            () = tracked.asked_to_leave() => match parting(tracked.stage(), || socket.rests(), || socket.has_news()) {
+                _ if !tracked.should_leave() => {}
                 Parting::Stays => {}
                 Parting::InOrder => connection.as_mut().graceful_shutdown(),
                 Parting::Cut => return Left::Cut,
@@ -332,16 +332,16 @@
         Stage::Idle if rests() => Parting::InOrder,
         Stage::Idle => Parting::Stays,
         Stage::Silent | Stage::Head if has_news() => Parting::Stays,
-        Stage::Silent | Stage::Head | Stage::Answer | Stage::Over => Parting::Cut,
+        Stage::Silent | Stage::Head | Stage::Answer | Stage::Lingering => Parting::Cut,
     }
 }
 
 /// Reads on after the last answer, within bounds. Guards against an answer that its client never sees: a connection
 /// that is closed with bytes unread is reset, and the answer lost with it.
 async fn linger(socket: &Socket) {
-    socket.place.enter(Stage::Over);
+    socket.tracked.enter(Stage::Lingering);
     let mut socket = socket.clone();
-    let place = Rc::clone(&socket.place);
+    let tracked = Rc::clone(&socket.tracked);
     let reading = async {
         socket.shutdown().await?;
         let (mut buffer, mut left) = ([0; 4096], MOST_LINGERED);
@@ -356,18 +356,22 @@
     tokio::select! {
         _ = reading => {}
         () = tokio::time::sleep(LINGER_TIME) => {}
-        () = place.asked_to_leave() => {}
+        () = tracked.asked_to_leave() => {}
     }
 }
 
-async fn respond(request: Request<Incoming>, hall: &Hall, place: &Rc<Place>) -> Response<Outgoing> {
+async fn respond(
+    request: Request<Incoming>,
+    state: &FrontState,
+    tracked: &Rc<TrackedConnection>,
+) -> Response<Outgoing> {
     match request.uri().path() {
-        "/up" if request.method() == Method::GET && !hall.admits() => {
+        "/up" if request.method() == Method::GET && !state.admits() => {
             plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
         }
         "/up" if request.method() == Method::GET => plain(StatusCode::OK, ""),
         "/up" => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
-        "/api" => api(request, hall, place).await.unwrap_or_else(|(status, why)| plain(status, why)),
+        "/api" => api(request, state, tracked).await.unwrap_or_else(|(status, why)| plain(status, why)),
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
@@ -408,14 +412,14 @@
 
 async fn api(
     request: Request<Incoming>,
-    hall: &Hall,
-    place: &Rc<Place>,
+    state: &FrontState,
+    tracked: &Rc<TrackedConnection>,
 ) -> Result<Response<Outgoing>, Rejection> {
     let (head, body) = request.into_parts();
-    let meaning = Meaning::read(&head.method, &head.headers, &hall.driver)?;
-    let counted = hall.driver.figures.take(meaning.class);
-    let answer = match answer_to(meaning, head, body, hall).await {
-        Ok(Answer::Served(served)) => return Ok(pass_on(served, counted, place)),
+    let metadata = RequestMetadata::read(&head.method, &head.headers, &state.driver)?;
+    let counted = state.driver.figures.take(metadata.class);
+    let answer = match answer_to(metadata, head, body, state).await {
+        Ok(Answer::Served(served)) => return Ok(pass_on(served, counted, tracked)),
         Ok(Answer::Refused { after_ms }) => Ok(refusal(after_ms)),
         Ok(Answer::Failed) => Ok(plain(StatusCode::BAD_GATEWAY, "")),
         Err(rejection) => Err(rejection),
@@ -433,17 +437,17 @@
 }
 
 /// A server's answer for the client; it is counted as it ends.
-fn pass_on(served: Served, counted: Counted, place: &Rc<Place>) -> Response<Outgoing> {
+fn pass_on(served: Served, counted: Counted, tracked: &Rc<TrackedConnection>) -> Response<Outgoing> {
     let end = end_of(served.status);
     let body = match served.body {
-        Answering::Whole(body) => {
+        ResponseBody::Whole(body) => {
             counted.end(end);
             Outgoing::whole(body)
         }
-        Answering::Passing(passing) => {
-            let place = Rc::clone(place);
+        ResponseBody::Passing(passing) => {
+            let tracked = Rc::clone(tracked);
             Outgoing::passing(passing, move |passed| {
-                place.set_passing(false);
+                tracked.set_passing(false);
                 match passed {
                     Passed::Whole => counted.end(end),
                     Passed::Cut => counted.end(End::Failed),
@@ -460,21 +464,26 @@
     response
 }
 
-async fn answer_to(meaning: Meaning, head: Parts, body: Incoming, hall: &Hall) -> Result<Answer, Rejection> {
+async fn answer_to(
+    metadata: RequestMetadata,
+    head: Parts,
+    body: Incoming,
+    state: &FrontState,
+) -> Result<Answer, Rejection> {
     if body.size_hint().lower() > MOST_PASSED as u64 {
         return Err(TOO_LARGE);
     }
-    let driver = &hall.driver;
-    let Meaning { id, class, tenant, time } = meaning;
-    let _open = OpenId::open(&hall.open, id).ok_or(ALREADY_OPEN)?;
+    let driver = &state.driver;
+    let RequestMetadata { id, class, tenant, time } = metadata;
+    let _open = OpenId::open(&state.open, id).ok_or(ALREADY_OPEN)?;
     let key = head.uri.query().and_then(key_of);
     let mut coming = Coming::new(body, driver.now_ms());
-    let held = coming.hold(hall).await?;
+    let held = coming.hold(state).await?;
     // A request's time counts from its last byte.
     let arrived = Instant::now();
     // Where another process listens on the same socket, clients get connections as ever.
-    let is_left = matches!(*hall.phases.borrow(), Phase::HandOver(_)) && !hall.entrance.is_shared;
-    if is_left && hall.places.few_free() {
+    let is_left = matches!(*state.phases.borrow(), Phase::Draining(_)) && !state.options.is_shared;
+    if is_left && state.table.few_free() {
         return Ok(Answer::Refused { after_ms: Some(FREE_AGAIN_MS) });
     }
     let headers = end_to_end(head.headers);
@@ -482,10 +491,10 @@
     let uri = head.uri.path_and_query().cloned().map_or(head.uri, Into::into);
     let sent = driver.figures.attempts(class).clone();
     let (body, feeder) = match held {
-        Held::Whole(body) => (Asking::Whole(body), None),
+        Held::Whole(body) => (RequestBody::Whole(body), None),
         Held::Part(first) => {
             let (feeder, rest) = passing(coming.left());
-            (Asking::Passing(Upload::new(first, rest)), Some(feeder))
+            (RequestBody::Passing(Upload::new(first, rest)), Some(feeder))
         }
     };
     let message = Message { method: head.method, uri, headers, body, sent, until: Cell::default() };
@@ -496,7 +505,7 @@
         let fed = tokio::select! {
             biased;
             answer = taken.answer() => return Ok(answer),
-            fed = coming.feed(feeder, hall) => fed?,
+            fed = coming.feed(feeder, state) => fed?,
         };
         if fed {
             taken.is_whole(Instant::now());
@@ -530,10 +539,10 @@
     }
 
     /// The next piece, or the end. Guards against a client that keeps a place with a body that does not come.
-    async fn piece(&mut self, hall: &Hall) -> Result<Option<Bytes>, Rejection> {
+    async fn piece(&mut self, state: &FrontState) -> Result<Option<Bytes>, Rejection> {
         let late = (StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n");
         loop {
-            let left_ms = (self.pace.due_ms() - hall.driver.now_ms()).max(0.0);
+            let left_ms = (self.pace.due_ms() - state.driver.now_ms()).max(0.0);
             let frame = tokio::time::timeout(Duration::from_secs_f64(left_ms / 1e3), self.body.frame()).await;
             match frame.map_err(|_| late)? {
                 None => return Ok(None),
@@ -549,8 +558,8 @@
     }
 
     /// Takes the body in, as far as it may be held.
-    async fn hold(&mut self, hall: &Hall) -> Result<Held, Rejection> {
-        let Some(first) = self.piece(hall).await? else { return Ok(Held::Whole(Bytes::new())) };
+    async fn hold(&mut self, state: &FrontState) -> Result<Held, Rejection> {
+        let Some(first) = self.piece(state).await? else { return Ok(Held::Whole(Bytes::new())) };
         if self.body.is_end_stream() {
             return Ok(Held::Whole(first));
         }
@@ -565,14 +574,14 @@
                 _ if beyond == 0 => true,
                 Some(share) => share.grow(beyond.saturating_sub(share.bytes())),
                 None => {
-                    share = hall.room.take(beyond);
+                    share = state.room.take(beyond);
                     share.is_some()
                 }
             };
             if !has_room {
                 break;
             }
-            let Some(piece) = self.piece(hall).await? else {
+            let Some(piece) = self.piece(state).await? else {
                 is_whole = true;
                 break;
             };
@@ -586,19 +595,19 @@
     }
 
     /// Feeds the rest to whoever sends it on; `false`: nobody does any more.
-    async fn feed(&mut self, mut feeder: Feeder, hall: &Hall) -> Result<bool, Rejection> {
+    async fn feed(&mut self, mut feeder: Feeder, state: &FrontState) -> Result<bool, Rejection> {
         let mut fed = 0;
-        while let Some(piece) = self.piece(hall).await? {
+        while let Some(piece) = self.piece(state).await? {
             fed += piece.len();
             if fed > MOST_PASSED {
                 return Err(TOO_LARGE);
             }
-            let since_ms = hall.driver.now_ms();
+            let since_ms = state.driver.now_ms();
             if feeder.feed(piece).await.is_err() {
                 return Ok(false);
             }
             // Here it was the server that was waited for.
-            self.pace.held_up(hall.driver.now_ms() - since_ms);
+            self.pace.held_up(state.driver.now_ms() - since_ms);
         }
         Ok(feeder.end().await.is_ok())
     }
@@ -614,14 +623,14 @@
 }
 
 /// What a request's headers say.
-struct Meaning {
+struct RequestMetadata {
     id: HeaderValue,
     class: usize,
     tenant: usize,
     time: Duration,
 }
 
-impl Meaning {
+impl RequestMetadata {
     fn read(method: &Method, headers: &HeaderMap, driver: &Driver) -> Result<Self, Rejection> {
         if OF_REQUEST.iter().any(|name| headers.get_all(name).iter().nth(1).is_some()) {
             return Err(bad("a header of the request comes twice\n"));
--- a/src/net/front/clients/tests.rs
+++ b/src/net/front/clients/tests.rs
@@ -10,7 +10,7 @@
         for has_news in [false, true] {
             assert_eq!(part(Stage::Request, rests, has_news), Stays);
             assert_eq!(part(Stage::Answer, rests, has_news), Cut);
-            assert_eq!(part(Stage::Over, rests, has_news), Cut);
+            assert_eq!(part(Stage::Lingering, rests, has_news), Cut);
             assert_eq!(part(Stage::Idle, rests, has_news), if rests { InOrder } else { Stays });
             for stage in [Stage::Silent, Stage::Head] {
                 assert_eq!(part(stage, rests, has_news), if has_news { Stays } else { Cut }, "{stage:?}");
--- a/src/net/front/places.rs
+++ b/src/net/front/connections.rs
@@ -1,4 +1,4 @@
-//! The places of clients' connections: how far each is, how long it may stay so, and which one makes room for another.
+//! The table of clients' connections: how far each is, how long it may stay so, and which one makes room for another.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 /// How long a client may take over a request's head, from its first byte (of the first on a connection: from
-/// connecting) to the last. Slow clients take 2 s; one that takes more holds a place for nothing.
+/// connecting) to the last. Slow clients take 2 s; one that takes more holds its room for nothing.
 const HEAD_TIME: Duration = Duration::from_millis(2_400);
 /// How long a client may take nothing of its answer. Slow ones take seconds over one.
 const ANSWER_TIME: Duration = Duration::from_secs(5);
@@ -40,7 +40,7 @@
 /// Where fewer come back, an answer that ends its connection makes room; where more do, their clients would only connect
 /// anew, and nothing is gained.
 const MOST_RETURN: f64 = 0.5;
-/// Clients hold this part of a node's descriptors at the most for requests; `Places` are half of them.
+/// Clients hold this part of a node's descriptors at the most for requests; the table has half of them.
 const SHARE_OF_PLACES: (usize, usize) = (2, 3);
 
 /// How far a connection is.
@@ -57,12 +57,12 @@
     /// It stands between requests.
     Idle,
     /// Nothing more is owed; what its client still sends is passed over.
-    Over,
+    Lingering,
 }
 
-/// A connection's place.
+/// A connection of the table.
 #[derive(Debug)]
-pub struct Place {
+pub struct TrackedConnection {
     stage: Cell<Stage>,
     since: Cell<Instant>,
     /// When the last bytes of a head came.
@@ -77,7 +77,7 @@
     leave: Notify,
 }
 
-impl Place {
+impl TrackedConnection {
     /// How far its connection is.
     #[must_use]
     pub fn stage(&self) -> Stage {
@@ -100,7 +100,7 @@
         match self.stage.get() {
             Stage::Silent | Stage::Idle => self.enter(Stage::Head),
             Stage::Head => self.moved.set(Instant::now()),
-            Stage::Request | Stage::Answer | Stage::Over => {}
+            Stage::Request | Stage::Answer | Stage::Lingering => {}
         }
     }
 
@@ -138,7 +138,7 @@
             Stage::Silent | Stage::Head => HEAD_TIME,
             Stage::Answer => ANSWER_TIME,
             Stage::Idle => IDLE_TIME,
-            Stage::Request | Stage::Over => Duration::MAX,
+            Stage::Request | Stage::Lingering => Duration::MAX,
         }
     }
 
@@ -148,7 +148,7 @@
         let rank = match self.stage.get() {
             _ if self.asked.get() => return None,
             Stage::Request => return None,
-            Stage::Over => 0,
+            Stage::Lingering => 0,
             Stage::Silent if now - since >= PROMPT => 1,
             Stage::Head if now - self.moved.get() >= STOPPED => 1,
             Stage::Idle if self.requests.get() <= 1 => 2,
@@ -165,38 +165,38 @@
 /// Connections that stand between requests, the longest first, each with the time since when. Others may be among them, and
 /// are passed over.
 #[derive(Default)]
-struct Idle(VecDeque<(Rc<Place>, Instant)>);
+struct Idle(VecDeque<(Rc<TrackedConnection>, Instant)>);
 
 impl Idle {
     /// Takes one more; `most` bounds what is kept of those that have gone on since.
-    fn push(&mut self, place: &Rc<Place>, most: usize) {
+    fn push(&mut self, tracked: &Rc<TrackedConnection>, most: usize) {
         if self.0.len() >= 2 * most {
-            self.0.retain(|(place, since)| place.has_idled(*since));
+            self.0.retain(|(tracked, since)| tracked.has_idled(*since));
         }
-        self.0.push_back((Rc::clone(place), place.since.get()));
+        self.0.push_back((Rc::clone(tracked), tracked.since.get()));
     }
 
     /// The one that has stood for longest, if it has stood for long, and has not been asked to leave.
-    fn longest(&mut self, now: Instant) -> Option<Rc<Place>> {
-        while let Some((place, since)) = self.0.front() {
-            let stands = place.has_idled(*since) && !place.asked.get();
+    fn longest(&mut self, now: Instant) -> Option<Rc<TrackedConnection>> {
+        while let Some((tracked, since)) = self.0.front() {
+            let stands = tracked.has_idled(*since) && !tracked.asked.get();
             if stands && now.saturating_duration_since(*since) < STOOD {
                 return None;
             }
-            let (place, _) = self.0.pop_front()?;
+            let (tracked, _) = self.0.pop_front()?;
             if stands {
-                return Some(place);
+                return Some(tracked);
             }
         }
         None
     }
 }
 
-/// All places.
-pub struct Places {
+/// All connections of clients.
+pub struct ConnectionTable {
     most: usize,
     next: Cell<u64>,
-    taken: RefCell<HashMap<u64, Rc<Place>>>,
+    taken: RefCell<HashMap<u64, Rc<TrackedConnection>>>,
     /// Those that stand between requests: after their first, and after a later one.
     idle: [RefCell<Idle>; 2],
     /// Whether clients get no further connections for those that are ended.
@@ -205,12 +205,12 @@
     known: Cell<usize>,
     /// The share of connections, of late, on which a second request came before they had stood for long.
     returning: Cell<f64>,
-    /// Whether a new connection waits for a place.
+    /// Whether a new connection waits for room.
     waits: Cell<bool>,
     freed: Notify,
 }
 
-impl Places {
+impl ConnectionTable {
     /// So many at the most.
     #[must_use]
     pub fn new(most: usize) -> Rc<Self> {
@@ -227,9 +227,9 @@
         })
     }
 
-    /// A place for a new connection. Guards the limit on descriptors: where all are taken, the connection that is
+    /// Room for a new connection. Guards the limit on descriptors: where all are taken, the connection that is
     /// worth least makes room, whoever came first, or the next answer tells its client to go.
-    pub async fn take(self: &Rc<Self>) -> Guest {
+    pub async fn take(self: &Rc<Self>) -> ConnectionGuard {
         while self.taken.borrow().len() >= self.most {
             self.waits.set(true);
             self.ask_least();
@@ -237,7 +237,7 @@
         }
         self.waits.set(false);
         let number = self.next.replace(self.next.get() + 1);
-        let place = Rc::new(Place {
+        let tracked = Rc::new(TrackedConnection {
             stage: Cell::new(Stage::Silent),
             since: Cell::new(Instant::now()),
             moved: Cell::new(Instant::now()),
@@ -247,8 +247,8 @@
             judged: Cell::new(false),
             leave: Notify::new(),
         });
-        self.taken.borrow_mut().insert(number, Rc::clone(&place));
-        Guest { places: Rc::clone(self), number, place }
+        self.taken.borrow_mut().insert(number, Rc::clone(&tracked));
+        ConnectionGuard { table: Rc::clone(self), number, tracked }
     }
 
     /// From now on clients get no further connections: those that they have are kept for whoever wants one.
@@ -257,11 +257,11 @@
     }
 
     /// A request is on a connection.
-    fn knows(&self, place: &Place) {
-        place.requests.set(place.requests.get() + 1);
-        match place.requests.get() {
+    fn knows(&self, tracked: &TrackedConnection) {
+        tracked.requests.set(tracked.requests.get() + 1);
+        match tracked.requests.get() {
             1 => self.known.set(self.known.get() + 1),
-            2 if !place.judged.replace(true) => self.judge(1.0),
+            2 if !tracked.judged.replace(true) => self.judge(1.0),
             _ => {}
         }
     }
@@ -279,31 +279,31 @@
 
     /// Whether the answer that is about to go out should be the last on its connection. Guards against clients that ask
     /// once and keep their connection: together they have all that clients may hold, and the next ones find none. Told in
-    /// an answer, nobody loses a request by it. Where a new connection waits for a place, the first to ask this makes room
+    /// an answer, nobody loses a request by it. Where a new connection waits for room, the first to ask this makes room
     /// for it, and the next do so again only while it still waits.
     #[must_use]
-    pub fn wants_room(&self, place: &Place) -> bool {
+    pub fn wants_room(&self, tracked: &TrackedConnection) -> bool {
         if self.holds.get() {
             return false;
         }
         let crowded = self.known.get() > self.thresholds().0 && self.returning.get() < MOST_RETURN;
-        self.waits.take() || (crowded && place.requests.get() <= 1)
+        self.waits.take() || (crowded && tracked.requests.get() <= 1)
     }
 
     /// A connection stands between requests from now on.
-    fn idles(&self, place: &Rc<Place>) {
+    fn idles(&self, tracked: &Rc<TrackedConnection>) {
         let [once, again] = &self.idle;
-        let own = if place.requests.get() > 1 { again } else { once };
-        own.borrow_mut().push(place, self.most);
+        let own = if tracked.requests.get() > 1 { again } else { once };
+        own.borrow_mut().push(tracked, self.most);
     }
 
     /// Asks those to leave that have stood for long, the longest first, where too few connections are free. Those that
     /// have asked again before are likelier to, and go last.
     fn make_room(&self, now: Instant) {
-        for place in self.taken.borrow().values() {
-            let stood = place.stage.get() == Stage::Idle && place.requests.get() == 1;
-            let long = now.saturating_duration_since(place.since.get()) >= STOOD;
-            if stood && long && !place.judged.replace(true) {
+        for tracked in self.taken.borrow().values() {
+            let stood = tracked.stage.get() == Stage::Idle && tracked.requests.get() == 1;
+            let long = now.saturating_duration_since(tracked.since.get()) >= STOOD;
+            if stood && long && !tracked.judged.replace(true) {
                 self.judge(0.0);
             }
         }
@@ -325,9 +325,9 @@
     fn ask_least(&self) {
         let (taken, now) = (self.taken.borrow(), Instant::now());
         let least = taken.values().filter_map(|p| Some((p.rank(now)?, p))).min_by_key(|(rank, _)| *rank);
-        let Some(((_, since), place)) = least else { return };
-        if place.stage.get() != Stage::Idle || now.saturating_duration_since(since) >= STOOD {
-            place.ask_to_leave();
+        let Some(((_, since), tracked)) = least else { return };
+        if tracked.stage.get() != Stage::Idle || now.saturating_duration_since(since) >= STOOD {
+            tracked.ask_to_leave();
         }
     }
 
@@ -340,11 +340,11 @@
     #[must_use]
     pub fn few_free(&self) -> bool {
         let (mut busy, mut free) = (0, 0);
-        for place in self.taken.borrow().values() {
-            match place.stage.get() {
+        for tracked in self.taken.borrow().values() {
+            match tracked.stage.get() {
                 Stage::Request | Stage::Answer => busy += 1,
                 Stage::Idle => free += 1,
-                Stage::Silent | Stage::Head | Stage::Over => {}
+                Stage::Silent | Stage::Head | Stage::Lingering => {}
             }
         }
         free < (busy + free) / KEPT_FREE
@@ -359,15 +359,15 @@
             let now = ticks.tick().await.into_std();
             self.make_room(now);
             let stay = stay();
-            for place in self.taken.borrow().values() {
-                if now.saturating_duration_since(place.since.get()) > place.may_stay(stay) {
-                    place.ask_to_leave();
+            for tracked in self.taken.borrow().values() {
+                if now.saturating_duration_since(tracked.since.get()) > tracked.may_stay(stay) {
+                    tracked.ask_to_leave();
                 }
             }
         }
     }
 
-    /// Waits until no place is taken.
+    /// Waits until there is none.
     pub async fn all_left(&self) {
         while !self.taken.borrow().is_empty() {
             self.freed.notified().await;
@@ -375,45 +375,45 @@
     }
 }
 
-impl Place {
+impl TrackedConnection {
     /// Whether it has stood between requests since then.
     fn has_idled(&self, since: Instant) -> bool {
         self.stage.get() == Stage::Idle && self.since.get() == since
     }
 }
 
-/// A place that is taken until this is dropped.
-pub struct Guest {
-    places: Rc<Places>,
+/// Keeps a connection in the table until this is dropped.
+pub struct ConnectionGuard {
+    table: Rc<ConnectionTable>,
     number: u64,
-    /// The place itself.
-    pub place: Rc<Place>,
+    /// The connection.
+    pub tracked: Rc<TrackedConnection>,
 }
 
-impl Guest {
+impl ConnectionGuard {
     /// A request is on it.
     pub fn asks(&self) {
-        self.place.enter(Stage::Request);
-        self.places.knows(&self.place);
+        self.tracked.enter(Stage::Request);
+        self.table.knows(&self.tracked);
     }
 
     /// All that there was to write has gone out; tells whether that was the end of an answer.
     pub fn is_flushed(&self) -> bool {
-        let ends = self.place.stage() == Stage::Answer && !self.place.passing.get();
+        let ends = self.tracked.stage() == Stage::Answer && !self.tracked.passing.get();
         if ends {
-            self.place.enter(Stage::Idle);
-            self.places.idles(&self.place);
+            self.tracked.enter(Stage::Idle);
+            self.table.idles(&self.tracked);
         }
         ends
     }
 }
 
-impl Drop for Guest {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        if self.place.requests.get() > 0 {
-            self.places.known.set(self.places.known.get() - 1);
+        if self.tracked.requests.get() > 0 {
+            self.table.known.set(self.table.known.get() - 1);
         }
-        self.places.taken.borrow_mut().remove(&self.number);
-        self.places.freed.notify_one();
+        self.table.taken.borrow_mut().remove(&self.number);
+        self.table.freed.notify_one();
     }
 }
--- a/src/net/front/socket.rs
+++ b/src/net/front/socket.rs
@@ -1,4 +1,4 @@
-//! A client's socket: what is read is noted for the connection's framing and its place, and whether the client is still
+//! A client's socket: what is read is noted for the connection's framing and its entry in the table, and whether the client is still
 //! there is seen while a request of it is served.
 
 use std::cell::RefCell;
@@ -15,8 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use crate::net::front::connections::{ConnectionGuard, Stage, TrackedConnection};
 use crate::net::front::framing::Framing;
-use crate::net::front::places::{Guest, Place, Stage};
 
 /// The most that is read ahead of hyper, which does not look whether a client is there while it holds bytes of its next
 /// request. Clients ask one thing at a time; one that sends more than this is watched without being read.
@@ -32,22 +32,22 @@
     ahead: Rc<RefCell<BytesMut>>,
     /// What is known of the messages' framing.
     pub framing: Rc<RefCell<Framing>>,
-    /// The connection's place.
-    pub place: Rc<Place>,
-    /// The hold on that place.
-    pub guest: Rc<Guest>,
+    /// The connection's entry in the table.
+    pub tracked: Rc<TrackedConnection>,
+    /// Keeps it there.
+    pub guard: Rc<ConnectionGuard>,
 }
 
 impl Socket {
     /// The socket of a connection that has just come.
     #[must_use]
-    pub fn new(stream: TcpStream, guest: Guest) -> Self {
+    pub fn new(stream: TcpStream, guard: ConnectionGuard) -> Self {
         Self {
             stream: Rc::new(RefCell::new(stream)),
             ahead: Rc::default(),
             framing: Rc::default(),
-            place: Rc::clone(&guest.place),
-            guest: Rc::new(guest),
+            tracked: Rc::clone(&guard.tracked),
+            guard: Rc::new(guard),
         }
     }
 
@@ -73,7 +73,7 @@
     /// Guards against attempts that begin for a client which sent more than one request, or a flood, and left.
     pub async fn client_gone(&self) {
         let mut again: Option<Pin<Box<Sleep>>> = None;
-        poll_fn(|cx| match self.place.stage() {
+        poll_fn(|cx| match self.tracked.stage() {
             Stage::Request => self.poll_gone(cx, &mut again),
             _ => Poll::Pending,
         })
@@ -104,7 +104,7 @@
 
     fn noted(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(bytes)) if bytes > 0) {
-            self.place.goes_on();
+            self.tracked.goes_on();
         }
         written
     }
@@ -128,7 +128,7 @@
         let read = &buf.filled()[before..];
         if !read.is_empty() {
             self.framing.borrow_mut().push(read);
-            self.place.hears();
+            self.tracked.hears();
         }
         result
     }
@@ -155,7 +155,7 @@
 
     /// hyper flushes once it has written all that it holds: then the answer is out.
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.guest.is_flushed() && !self.ahead.borrow().is_empty() {
+        if self.guard.is_flushed() && !self.ahead.borrow().is_empty() {
             // hyper waits for the system to tell of bytes; of these it has told.
             cx.waker().wake_by_ref();
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,7 +27,7 @@
 use config::{Config, ConfigError};
 use driver::Driver;
 use fleet::{Fleet, FleetError};
-use front::clients::{self, Entrance, Phase};
+use front::clients::{self, FrontOptions, Phase};
 use front::inherited;
 use operate::operators::Operators;
 use operate::{calls, log, reload};
@@ -136,15 +136,16 @@
     let (phase, phases) = watch::channel(Phase::Serving);
     let longest = driver.names.rules.iter().map(|rule| rule.longest).max().unwrap_or_default();
     let most = config.limits.client_connections();
-    let entrance = Entrance { is_shared, room: config.limits.long_requests(), ..Entrance::own(phases, most) };
+    let options =
+        FrontOptions { is_shared, room: config.limits.long_requests(), ..FrontOptions::own(phases, most) };
     if let Some(address) = config.control {
         let listener = TcpListener::bind(address).await.map_err(system("listen for operators"))?;
         let at = listener.local_addr().map_err(system("listen for operators"))?;
         log::line(format_args!("operators call at {at}"));
-        let desk = calls::Desk::new(Rc::clone(&driver), entrance.clone(), fleet.clone());
+        let desk = calls::Desk::new(Rc::clone(&driver), options.clone(), fleet.clone());
         tokio::task::spawn_local(calls::serve(listener, desk));
     }
-    let clients = clients::serve(listener, Rc::clone(&driver), entrance);
+    let clients = clients::serve(listener, Rc::clone(&driver), options);
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -155,9 +156,9 @@
         }
         let (closing, answered) = hand_over(longest);
         let by = Instant::now() + answered;
-        phase.send_replace(Phase::HandOver(by));
+        phase.send_replace(Phase::Draining(by));
         tokio::time::sleep(closing).await;
-        phase.send_replace(Phase::Closing(by));
+        phase.send_replace(Phase::ShuttingDown(by));
         // The sender must live until all is answered: its end would look like one more change.
         std::future::pending::<()>().await;
     };
--- a/src/net/operate/calls.rs
+++ b/src/net/operate/calls.rs
@@ -12,7 +12,7 @@
 
 use crate::net::driver::Driver;
 use crate::net::fleet::Fleet;
-use crate::net::front::clients::{Entrance, Phase, ACCEPT_AGAIN};
+use crate::net::front::clients::{FrontOptions, Phase, ACCEPT_AGAIN};
 use crate::net::operate::log;
 
 /// How long a caller may take over its line and its answer: many times what one needs, and callers that finish nothing
@@ -26,20 +26,20 @@
 #[derive(Clone)]
 pub struct Desk {
     driver: Rc<Driver>,
-    entrance: Entrance,
+    options: FrontOptions,
     fleet: Option<Rc<Fleet>>,
 }
 
 impl Desk {
     /// Of a node's driver, of the entrance to it, and of what it knows of other nodes, where it looks.
     #[must_use]
-    pub fn new(driver: Rc<Driver>, entrance: Entrance, fleet: Option<Rc<Fleet>>) -> Self {
-        Self { driver, entrance, fleet }
+    pub fn new(driver: Rc<Driver>, options: FrontOptions, fleet: Option<Rc<Fleet>>) -> Self {
+        Self { driver, options, fleet }
     }
 
     fn answer(&self, line: &[u8]) -> String {
         match Call::read(line) {
-            Ok(Call::Ready) if *self.entrance.phases.borrow() == Phase::Serving => "200 ready\n".into(),
+            Ok(Call::Ready) if *self.options.phases.borrow() == Phase::Serving => "200 ready\n".into(),
             Ok(Call::Ready) => "400 not ready: it is on its way out\n".into(),
             Ok(Call::Stats) => {
                 let fleet = self.fleet.as_ref().map(|fleet| fleet.figures()).unwrap_or_default();
@@ -77,13 +77,13 @@
     }
 
     fn drains(&self, drains: bool) {
-        let mut drain = self.entrance.drain.get();
+        let mut drain = self.options.drain.get();
         if drains {
             drain.begin(self.driver.now_ms());
         } else {
             drain.end();
         }
-        if self.entrance.drain.replace(drain) != drain {
+        if self.options.drain.replace(drain) != drain {
             log::line(if drains { "operators send clients away" } else { "operators end the drain" });
         }
     }
--- a/tests/close_range.rs
+++ b/tests/close_range.rs
@@ -9,7 +9,7 @@
 
 use silverthread::net::config::Config;
 use silverthread::net::driver::Driver;
-use silverthread::net::front::clients::{serve, Entrance, Phase};
+use silverthread::net::front::clients::{serve, FrontOptions, Phase};
 use testkit::*;
 use tokio::sync::watch;
 
@@ -109,7 +109,7 @@
             let driver = Driver::start(&Config::parse(&text).expect("sound")).expect("sound");
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let address = listener.local_addr().expect("an address");
-            (address, tokio::task::spawn_local(serve(listener, driver, Entrance::own(phases, 64))))
+            (address, tokio::task::spawn_local(serve(listener, driver, FrontOptions::own(phases, 64))))
         });
         Self { runtime, local, address, phase, server, serving }
     }
@@ -164,7 +164,7 @@
     }
 
     fn shut_down(&self) {
-        self.phase.send_replace(Phase::Closing(Instant::now() + 3 * PATIENCE));
+        self.phase.send_replace(Phase::ShuttingDown(Instant::now() + 3 * PATIENCE));
     }
 }
 
@@ -398,7 +398,7 @@
     // The places are all taken, and the queue of the system is never empty from here on.
     front.turn(500);
     let told = Instant::now();
-    front.phase.send_replace(Phase::Closing(told + Duration::from_millis(500)));
+    front.phase.send_replace(Phase::ShuttingDown(told + Duration::from_millis(500)));
     front.turn_until("the node ends", || front.serving.is_finished());
     let took = told.elapsed();
     ends.store(true, Ordering::SeqCst);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -7,7 +7,7 @@
 
 use silverthread::net::config::Config;
 use silverthread::net::driver::Driver;
-use silverthread::net::front::clients::{serve, Entrance, Phase};
+use silverthread::net::front::clients::{serve, FrontOptions, Phase};
 use testkit::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -455,16 +455,16 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
-        let serving = tokio::task::spawn_local(serve(listener, driver, Entrance::own(phases, 16)));
+        let serving = tokio::task::spawn_local(serve(listener, driver, FrontOptions::own(phases, 16)));
         let by = Instant::now() + PATIENCE;
-        phase.send_replace(Phase::HandOver(by));
+        phase.send_replace(Phase::Draining(by));
         let mut client = tokio::net::TcpStream::connect(address).await.expect("it still listens");
         // Whoever has a connection keeps it: there may be nobody else yet.
         for _ in 0..3 {
             let answer = ask(&mut client, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").await;
             assert!(answer.starts_with("HTTP/1.1 200 OK") && !answer.contains("close"), "{answer}");
         }
-        phase.send_replace(Phase::Closing(by));
+        phase.send_replace(Phase::ShuttingDown(by));
         assert!(client.read_u8().await.is_err(), "between requests it is closed in the end");
         tokio::time::timeout(PATIENCE, serving).await.expect("it ends").expect("in order");
     });
@@ -498,14 +498,14 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
-        tokio::task::spawn_local(serve(listener, driver, Entrance::own(phases, 64)));
+        tokio::task::spawn_local(serve(listener, driver, FrontOptions::own(phases, 64)));
         let mut clients = Vec::new();
         for _ in 0..12 {
             let mut client = tokio::net::TcpStream::connect(address).await.expect("it listens");
             assert!(ask(&mut client, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").await.contains("200 OK"));
             clients.push(client);
         }
-        phase.send_replace(Phase::HandOver(Instant::now() + 3 * PATIENCE));
+        phase.send_replace(Phase::Draining(Instant::now() + 3 * PATIENCE));
         let mut held = clients.split_off(2);
         for (at, client) in held.iter_mut().enumerate() {
             client.write_all(read(&at.to_string(), "60000m").as_bytes()).await.expect("an open connection");
@@ -536,9 +536,9 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
-        tokio::task::spawn_local(serve(listener, driver, Entrance::own(phases, 8)));
+        tokio::task::spawn_local(serve(listener, driver, FrontOptions::own(phases, 8)));
         tokio::task::yield_now().await; // It has begun to listen for phases.
-        phase.send_replace(Phase::HandOver(Instant::now() + 3 * PATIENCE));
+        phase.send_replace(Phase::Draining(Instant::now() + 3 * PATIENCE));
         let mut clients = Vec::new();
         for _ in 0..2 {
             // As many as there are places, and more than may stand idle while a node serves.
