Try one request where a dozen were refused in a row for three seconds

Its servers are slower for tens of seconds once they are too full; a node that has seen that refuses all it gets until it has forgotten. Cold budgets, drains and spared servers hold, as candidates are as ever.

So its servers are overdriven, as aims are long beside the work there.

The recorded choices of tests/hsq.rs stay as they are.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,6 +31,10 @@
 /// gets `LEAST_AIM` of that.
 const AIM_PART: [f64; 2] = [0.45, 0.8];
 const LEAST_AIM: f64 = 0.5;
+/// Refusals in a row, and for how long, after which a request is sent on all the same: what is refused by is
+/// a guess that only an attempt refutes. The operators bear no node that turns away 15 in 4 s and tries none.
+const MOST_REFUSED: usize = 12;
+const REFUSED_MS: f64 = 3_000.0;
 /// The share of a class's requests that is sent on of late below which it goes by its own aim alone.
 const LEAST_TAKEN: f64 = 0.3;
 /// How many aims may pass until a busy node comes round in its subset; the least is as many as are asked.
@@ -125,6 +129,8 @@
     classes: Vec<Mean>,
     /// The share of each class's requests that was sent on, of late.
     sent_on: Vec<Mean>,
+    /// Requests refused in a row for want of room, with none sent on, and since when.
+    refused: (usize, f64),
     all: Pace,
     kinds: Vec<Pace>,
     /// Mean aim of the classes, the time scale of all judgements, and the half-life of what is learned.
@@ -548,8 +554,17 @@
         let first = held.attempts.is_empty();
         let aim = if first || self.probing { self.worthwhile(&held) } else { f64::INFINITY };
         let spare = first || self.spare_resends() >= 1.0;
-        let server = spare.then(|| self.pick(&mut held, aim)).flatten();
+        let mut server = spare.then(|| self.pick(&mut held, aim)).flatten();
         if first {
+            // Guards against a node that turns all away for as long as it takes to forget what it saw.
+            let (row, since) = self.refused;
+            if server.is_none() && row >= MOST_REFUSED && self.now - since >= REFUSED_MS {
+                server = self.pick(&mut held, f64::INFINITY);
+            }
+            self.refused = match server {
+                Some(_) => (0, self.now),
+                None => (row + 1, if row == 0 { self.now } else { since }),
+            };
             self.sent_on[held.class].add(f64::from(u8::from(server.is_some())), GAIN);
         }
         if let Some(server) = server {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1283,3 +1283,38 @@
         }
     }
 }
+
+/// Guards against a node that turns all away for as long as it takes to forget what it saw: an estimate by which all is
+/// refused is put to the test within 4 s, where fifteen have been refused by then, and not much more often.
+#[test]
+fn a_node_that_refuses_all_tries_one_request_now_and_then() {
+    for gap_ms in [20.0, 100.0, 250.0, 1_000.0] {
+        let mut settings = one_class(Effect::Safe);
+        settings.nodes = 100_000; // Else an idle server would be tried all the same, now and then.
+        let mut node = Node::new(settings, 1);
+        node.servers(ready(0..4));
+        // What it hears is that answers take many times their aim.
+        let (mut row, mut since, mut sent) = (0, node.now, Vec::new());
+        for id in 0..2_000 {
+            node.now += gap_ms;
+            if send_of(&node.request(id, 0, 800.0)).is_some() {
+                sent.push(node.now);
+                (row, since) = (0, node.now);
+                node.report(id, 0, 30_000.0, Ending::Served, Some(50.0));
+            } else {
+                row += 1;
+            }
+            assert!(row < 15 || node.now - since < 4_000.0, "{row} refused since {since} by {}", node.now);
+        }
+        let late: Vec<_> = sent.windows(2).skip(sent.len() / 2).map(|two| two[1] - two[0]).collect();
+        // Where requests are few, some are sent by chance as ever.
+        let are_few = late.iter().all(|gap| *gap >= 3_000.0) || gap_ms > 100.0;
+        assert!(!late.is_empty() && are_few, "{gap_ms}: {late:?}");
+        // With nobody to send to there is nothing to try.
+        node.servers(Vec::new());
+        for id in 5_000..5_040 {
+            node.now += 100.0;
+            assert!(refused(&node.request(id, 0, 800.0)), "request {id}");
+        }
+    }
+}
