Provoke a want of descriptors, and half-closes behind a flood

Change: a node under a limit of its own process, lower than its configuration says, with clients that take all; each of the four clients that sent more than a request also leaves by a half-close. No mend was needed.

--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -91,6 +91,14 @@
     command
 }
 
+/// A shell that is to put the program in its place.
+fn by_shell(script: &str) -> Command {
+    let mut shell = Command::new("/bin/sh");
+    shell.env_remove("ROUTER_CONFIG").env_remove("SILVERTHREAD_CONFIG");
+    shell.args(["-c", script]).arg(program_path());
+    shell
+}
+
 impl Node {
     /// Starts it and waits until it serves.
     #[must_use]
@@ -108,12 +116,17 @@
     #[must_use]
     pub fn start_on(config: &str, listener: &TcpListener) -> Self {
         let held = listener.try_clone().expect("a socket");
-        let mut shell = Command::new("/bin/sh");
-        shell.env_remove("ROUTER_CONFIG").env_remove("SILVERTHREAD_CONFIG").env("ROUTER_LISTEN_FD", "3");
-        shell.args(["-c", "exec \"$0\" 3<&0 </dev/null"]).arg(program_path()).stdin(OwnedFd::from(held));
+        let mut shell = by_shell("exec \"$0\" 3<&0 </dev/null");
+        shell.env("ROUTER_LISTEN_FD", "3").stdin(OwnedFd::from(held));
         Self::started(config, None, shell)
     }
 
+    /// One that the system gives so many descriptors and no more, whatever its configuration says.
+    #[must_use]
+    pub fn start_limited(config: &str, descriptors: usize) -> Self {
+        Self::started(config, None, by_shell(&format!("ulimit -n {descriptors}; exec \"$0\"")))
+    }
+
     fn started(config: &str, operators: Option<&str>, mut command: Command) -> Self {
         let config = write_config(config);
         let operators = operators.map(write_config);
@@ -321,6 +334,11 @@
         self.input.get_mut().write_all(text.as_bytes()).expect("an open connection");
     }
 
+    /// Ends its sending, and could still read.
+    pub fn end_sending(&self) {
+        self.input.get_ref().shutdown(std::net::Shutdown::Write).expect("an open connection");
+    }
+
     /// The next answer; `None` is an end before its last byte.
     pub fn answer(&mut self) -> Option<Message> {
         Message::read(&mut self.input)
--- a/tests/close_range.rs
+++ b/tests/close_range.rs
@@ -51,9 +51,9 @@
 #[test]
 fn a_client_that_sent_more_than_its_request_is_seen_to_leave() {
     let next = read("next", "15000m");
-    for more in
-        [String::new(), next.clone(), next[..next.len() / 2].to_owned(), next.repeat(FLOOD / next.len())]
-    {
+    let more =
+        [String::new(), next.clone(), next[..next.len() / 2].to_owned(), next.repeat(FLOOD / next.len())];
+    for (more, half_closes) in more.iter().flat_map(|more| [(more, false), (more, true)]) {
         let server = Server::start(|_| Reply::Silence);
         // Its time is longer than anything here is waited for.
         let (node, _discovery, _watch) = Node::with(&[&server], 600_000);
@@ -61,8 +61,11 @@
         client.send(&format!("{}{more}", read("first", "600000m")));
         until("its attempt is out", || server.requests().len() == 1);
         assert_eq!(server.closed(), 0);
-        drop(client);
+        // One that ends its sending has gone, too: the page knows no other way to leave.
+        let held = half_closes.then(|| client.end_sending());
+        let held = held.map(|()| client);
         until("its attempt is given up", || server.closed() == 1);
+        drop(held);
         assert_eq!(server.requests().len(), 1, "nothing else was sent on for it");
     }
 }
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -58,6 +58,35 @@
     drop(taking); // It ends with the process.
 }
 
+/// Guards against a node that ends, spins or stays deaf once the system gives it no more descriptors, which is fewer than it
+/// was told: clients take them all, then go, and the next one is served.
+#[test]
+fn a_node_that_finds_no_descriptors_serves_again_once_there_are_some() {
+    const GIVEN: usize = 48;
+    let server = Server::start(|_| Reply::ok("yes"));
+    let discovery = Discovery::start();
+    let known = list(1, true, &[server.entry("s-0", "ready")]);
+    let node = Node::start_limited(&config(discovery.address, &known, &settings(15_000)), GIVEN);
+    let mut idle: Vec<_> =
+        (0..3 * GIVEN).map(|_| TcpStream::connect(node.address).expect("a queue")).collect();
+    until("it finds none", || node.log().iter().any(|line| line.contains("cannot accept a connection")));
+    // It waits between two tries: a node that spins would be at it all the time.
+    let spent = || std::fs::read_to_string(format!("/proc/{}/stat", node.process())).expect("it runs");
+    let ticks = |stat: &str| -> u64 {
+        let fields: Vec<_> = stat.rsplit_once(')').expect("a name").1.split_whitespace().collect();
+        fields[11].parse::<u64>().expect("ticks") + fields[12].parse::<u64>().expect("ticks")
+    };
+    let before = ticks(&spent());
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(ticks(&spent()) - before < 25, "{} of 50 ticks", ticks(&spent()) - before);
+    idle.clear();
+    until("it serves again", || {
+        let mut client = node.connect();
+        client.try_send(&read("again", "15000m"))
+            && client.answer().is_some_and(|answer| answer.status() == 200)
+    });
+}
+
 /// Guards against readiness that waits for discovery: many processes start at once, while it answers nobody.
 #[test]
 fn many_processes_are_ready_at_once_while_discovery_answers_nobody() {
