Force on sockets what crosses the end of a connection's time

Need: that unread bytes keep a connection from being cut was held by a test of the decision alone; nothing tried the crossing itself. Change: the event loop's time stands still but for two steps, and the client's bytes come in each of twelve turns round the one in which its time is over, on connections that are silent, half a head in, or resting. One thread: whether the connection was open when the bytes were written is seen at that instant, and an open one must answer. Both orders have to be met, or the test fails.

--- a/tests/close_range.rs
+++ b/tests/close_range.rs
@@ -255,6 +255,64 @@
     front.turn_until("the node ends", || front.serving.is_finished());
 }
 
+/// Longer than a client may take over a head, or rest.
+const LONG: Duration = Duration::from_secs(11);
+/// Longer than from one look at the times of connections to the next.
+const ONE_LOOK: Duration = Duration::from_millis(150);
+/// So many turns of the event loop are tried as the one in which the bytes come: the time is over in the first or second.
+const TURNS: usize = 12;
+
+/// Guards a client whose bytes come in the very turn in which its time is over, before or after the event loop has looked
+/// for bytes: whoever wrote on a connection that was open has taken part, and is answered. Time stands still but for two
+/// steps, so that each turn in which the bytes can come is tried.
+#[test]
+fn bytes_that_come_as_the_time_of_a_connection_is_over_are_answered() {
+    let request = read("crossing", "15000m");
+    for (rested, ahead) in [(false, 0), (false, request.len() / 2), (true, 0)] {
+        let (mut open, mut ended) = (0, 0);
+        for turns in 0..TURNS {
+            let front = Front::start();
+            let mut client = front.connect();
+            if rested {
+                front.rest(&mut client);
+            }
+            client.write_all(&request.as_bytes()[..ahead]).expect("an open connection");
+            front.turn(5);
+            let was_open = front.local.block_on(&front.runtime, async {
+                tokio::time::pause();
+                // The look that is due by now is of the time before; the one after it finds the time over.
+                tokio::time::advance(LONG).await;
+                for _ in 0..TURNS {
+                    tokio::task::yield_now().await;
+                }
+                tokio::time::advance(ONE_LOOK).await;
+                for _ in 0..turns {
+                    tokio::task::yield_now().await;
+                }
+                // One thread: what the node has ended by now is seen here, and nothing happens until the bytes are there.
+                let was_open =
+                    matches!(client.peek(&mut [0; 1]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+                let _ = client.write_all(&request.as_bytes()[ahead..]);
+                tokio::time::resume();
+                was_open
+            });
+            let (answer, in_order) = front.read_to_end(&mut client);
+            let case = format!("rested: {rested}, {ahead} bytes ahead, {turns} turns");
+            if was_open {
+                open += 1;
+                assert!(
+                    answer.starts_with("HTTP/1.1 200 OK") && answer.ends_with("yes"),
+                    "{case}: {answer:?}"
+                );
+            } else {
+                ended += 1;
+                assert!(answer.is_empty() || !in_order, "{case}: {answer:?}");
+            }
+        }
+        assert!(open > 0 && ended > 0, "both orders were met: {open}, {ended}");
+    }
+}
+
 /// Guards a request of which a part had come when the node shut its connections down.
 #[test]
 fn a_head_that_is_half_there_at_the_shutdown_may_end_and_is_answered() {
