Measure what the budget of cold servers costs, with the real module and queues

Change: `measure -- cold`: twelve servers that queue, four of them cold at once, 2 to 300 nodes, three loads, with the budget and with nodes told of none, same seeds.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,8 @@
 //! measures what it compares within one run, in turn, so that a machine that is slower today is so for both. `all`
 //! plays every subject, and `--brief` behind the name plays it for a moment, to see that it still runs.
 
+mod agenda;
+mod cold;
 mod connections;
 mod decisions;
 mod detectors;
@@ -26,7 +28,7 @@
 /// The subject `pool` starts this program again so, beside the node.
 const PLAIN_PROXY: &str = "plain-proxy";
 
-const SUBJECTS: [(&str, fn()); 19] = [
+const SUBJECTS: [(&str, fn()); 20] = [
     ("decisions", decisions::measure),
     ("members-drawn", members::drawn),
     ("members-days", members::node_days),
@@ -42,6 +44,7 @@
     ("owners-model", owners::model),
     ("spread", spread::measure),
     ("word", word::measure),
+    ("cold", cold::measure),
     ("membership", following::measure),
     ("membership-path", following::requests),
     ("pool", connections::measure),
--- a/crates/measure/src/word.rs
+++ b/crates/measure/src/word.rs
@@ -1,8 +1,7 @@
 //! What word of bad servers does to a fleet: the node's own module, many of it, in virtual time, with servers that are bad in
 //! several ways; with word and without, from the same seeds.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 
 use duties::{Event as Said, Kind, NodeKey, ServerKey, Word};
 use fastrand::Rng;
@@ -11,6 +10,7 @@
     RequestId, ServerEntry, ServerId, Settings,
 };
 
+use crate::agenda::Agenda;
 use crate::system::count;
 
 const AIM_MS: f64 = 200.0;
@@ -71,7 +71,6 @@
     }
 }
 
-#[derive(Debug, PartialEq, PartialOrd)]
 enum Due {
     Arrive(usize),
     End { node: usize, request: u64, attempt: usize, server: usize, sent: f64, ending: u8 },
@@ -81,22 +80,6 @@
 
 const ENDINGS: [Ending; 4] = [Ending::Served, Ending::Error, Ending::TimedOut, Ending::Unreachable];
 
-/// Time and number, by which what is due is in order.
-#[derive(Debug, PartialEq)]
-struct At(f64, u64, Due);
-
-impl Eq for At {}
-impl PartialOrd for At {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for At {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
-    }
-}
-
 /// A request: when it came, its attempts so far, and the one that is out: its number and when it was sent.
 type Open = (f64, usize, Option<(usize, f64)>);
 
@@ -109,9 +92,7 @@
 struct World {
     trouble: Trouble,
     with_word: bool,
-    now: f64,
-    serial: u64,
-    due: BinaryHeap<Reverse<At>>,
+    agenda: Agenda<Due>,
     nodes: Vec<Node>,
     rng: Rng,
     requests: u64,
@@ -140,38 +121,27 @@
             Node { balancer, word, open: HashMap::new() }
         };
         let all = (0..nodes).map(node).collect();
-        let (due, requests) = (BinaryHeap::new(), 0);
-        let (now, serial, good, taken, spent) = (0.0, 0, 0.0, 0, 0);
-        let mut world =
-            Self { trouble, with_word, now, serial, due, nodes: all, rng, requests, good, taken, spent };
+        let (agenda, requests, good, taken, spent) = (Agenda::default(), 0, 0.0, 0, 0);
+        let mut world = Self { trouble, with_word, agenda, nodes: all, rng, requests, good, taken, spent };
         for node in 0..nodes {
             let first = world.rng.f64() * 1_000.0 / EACH_PER_S;
-            world.push(first, Due::Arrive(node));
+            world.agenda.push(first, Due::Arrive(node));
             if with_word {
-                world.push(first, Due::Turn(node));
+                world.agenda.push(first, Due::Turn(node));
             }
         }
         world
     }
 
-    fn push(&mut self, after: f64, due: Due) {
-        self.serial += 1;
-        self.due.push(Reverse(At(self.now + after, self.serial, due)));
-    }
-
     fn play(mut self) -> (f64, f64) {
-        while let Some(Reverse(At(at, _, due))) = self.due.pop() {
-            if at > LAST_MS {
-                break;
-            }
-            self.now = at;
+        while let Some(due) = self.agenda.next_before(LAST_MS) {
             match due {
                 Due::Arrive(node) => {
                     let after = -self.rng.f64().max(1e-9).ln() * 1_000.0 / EACH_PER_S;
-                    self.push(after, Due::Arrive(node));
+                    self.agenda.push(after, Due::Arrive(node));
                     self.requests += 1;
                     let id = self.requests;
-                    self.nodes[node].open.insert(id, (self.now, 0, None));
+                    self.nodes[node].open.insert(id, (self.agenda.now, 0, None));
                     self.taken += u64::from(self.counts());
                     self.feed(node, Event::Request(Request::new(RequestId(id), 0, DEADLINE_MS)));
                 }
@@ -180,8 +150,11 @@
                     self.end(node, request, attempt, server, sent, ENDINGS[usize::from(ending)]);
                 }
                 Due::Turn(node) => {
-                    self.push(1_000.0, Due::Turn(node));
-                    if self.trouble == Trouble::Liar && node == 0 && (BEGIN_MS..END_MS).contains(&self.now) {
+                    self.agenda.push(1_000.0, Due::Turn(node));
+                    if self.trouble == Trouble::Liar
+                        && node == 0
+                        && (BEGIN_MS..END_MS).contains(&self.agenda.now)
+                    {
                         self.word(node, Said::Ended(key(0), Some(Kind::Error)));
                     }
                     self.word(node, Said::Due);
@@ -193,12 +166,12 @@
 
     /// What counts is from the beginning of the trouble on, its end and what follows among it.
     fn counts(&self) -> bool {
-        (BEGIN_MS..LAST_MS - DEADLINE_MS).contains(&self.now)
+        (BEGIN_MS..LAST_MS - DEADLINE_MS).contains(&self.agenda.now)
     }
 
     fn word(&mut self, node: usize, event: Said<'_>) {
         let mut actions = Vec::new();
-        self.nodes[node].word.handle(self.now, event, &mut actions);
+        self.nodes[node].word.handle(self.agenda.now, event, &mut actions);
         for action in actions {
             match action {
                 duties::Action::Tell(bytes) => {
@@ -226,7 +199,7 @@
         if is_served {
             self.nodes[node].open.remove(&request);
             let counts = (BEGIN_MS..LAST_MS - DEADLINE_MS).contains(&arrived);
-            self.good += f64::from(u8::from(counts && self.now - arrived <= AIM_MS));
+            self.good += f64::from(u8::from(counts && self.agenda.now - arrived <= AIM_MS));
         }
         if self.with_word {
             let failed = match ending {
@@ -241,7 +214,7 @@
         let outcome = Outcome {
             request: RequestId(request),
             attempt,
-            elapsed_ms: self.now - sent,
+            elapsed_ms: self.agenda.now - sent,
             ending,
             complete: is_served,
             report,
@@ -251,11 +224,11 @@
 
     fn feed(&mut self, node: usize, event: Event) {
         let mut actions = Vec::new();
-        self.nodes[node].balancer.handle(self.now, event, &mut actions);
+        self.nodes[node].balancer.handle(self.agenda.now, event, &mut actions);
         for action in actions {
             match action {
                 Action::Send { request, server } => {
-                    let (now, at) = (self.now, server.0);
+                    let (now, at) = (self.agenda.now, server.0);
                     let Some(open) = self.nodes[node].open.get_mut(&request.0) else { continue };
                     let attempt = open.1;
                     open.1 += 1;
@@ -266,7 +239,7 @@
                         if after > left { (Ending::TimedOut, left) } else { (ending, after) };
                     self.spent += u64::from(at < self.trouble.bad() && (BEGIN_MS..END_MS).contains(&now));
                     let ending = ENDINGS.iter().position(|held| *held == ending).unwrap_or(0) as u8;
-                    self.push(
+                    self.agenda.push(
                         after,
                         Due::End { node, request: request.0, attempt, server: at, sent: now, ending },
                     );
@@ -280,7 +253,7 @@
                 Action::Refuse { request, .. } | Action::Fail { request } => {
                     self.nodes[node].open.remove(&request.0);
                 }
-                Action::SetTimer { timer, after_ms } => self.push(after_ms, Due::Timer(node, timer)),
+                Action::SetTimer { timer, after_ms } => self.agenda.push(after_ms, Due::Timer(node, timer)),
                 _ => {}
             }
         }
@@ -290,7 +263,7 @@
         if let Some(open) = self.nodes[node].open.get_mut(&request) {
             open.2 = None;
         }
-        let elapsed_ms = self.now - sent;
+        let elapsed_ms = self.agenda.now - sent;
         let (request, ending) = (RequestId(request), Ending::Cancelled);
         self.feed(
             node,
