Hold that calls of many nodes to one discovery are spread

Change: a test with the real module, 300 nodes that hear of the end in one instant and of eight failed calls each. From the fifth call on at most a quarter of them come in 100 ms; no wait is beyond LONGEST_RESUBSCRIBE_MS. The first calls are close together, as most watches end alone; the test does not bound these.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1318,3 +1318,43 @@
         }
     }
 }
+
+/// Guards one discovery service against all nodes at once: they hear of its end in the same instant, and of each call's
+/// failure as soon as it is made. The calls of 300 nodes spread over the wait, each time, and none waits longer than it may.
+#[test]
+fn calls_of_many_nodes_to_one_discovery_are_spread() {
+    const NODES: usize = 300;
+    const WITHIN_MS: f64 = 100.0;
+    let wait = |node: &mut Node| {
+        let actions = node.feed(Event::Servers(Listing::Failed));
+        let timer = actions.iter().find_map(|action| match action {
+            Action::SetTimer { timer, after_ms } => Some((*timer, *after_ms)),
+            _ => None,
+        });
+        let (timer, after_ms) = timer.expect("it calls again");
+        node.now += after_ms;
+        assert!(node.feed(Event::Timer(timer)).contains(&Action::Subscribe));
+        after_ms
+    };
+    let mut waits = vec![Vec::new(); 8];
+    for seed in 0..NODES {
+        let mut settings = one_class(Effect::Safe);
+        (settings.discovery, settings.ask_within_ms) = (Discovery::Subscribe, 10_000.0);
+        (settings.nodes, settings.me) = (NODES, seed);
+        let mut node = Node::new(settings, seed as u64);
+        node.servers(ready(0..4));
+        waits.iter_mut().for_each(|waits| waits.push(wait(&mut node)));
+    }
+    for (call, waits) in waits.iter_mut().enumerate() {
+        waits.sort_by(f64::total_cmp);
+        let (least, most) = (waits[0], waits[NODES - 1]);
+        assert!(
+            most <= silverthread::LONGEST_RESUBSCRIBE_MS && most >= 1.8 * least,
+            "{call}: {least} to {most}"
+        );
+        let together = |from: f64| waits.iter().filter(|at| (from..from + WITHIN_MS).contains(*at)).count();
+        let crowd = waits.iter().map(|from| together(*from)).max().expect("some");
+        // The first calls come soon, as most watches end alone; from the fifth on a quarter is the most.
+        assert!(call < 4 || crowd * 4 <= NODES, "{call}: {crowd} in {WITHIN_MS} ms");
+    }
+}
