Reproduce the report: servers that send responses which no request asked for

After every second response a server writes, 0 to 250 ms later, bytes that no request asked for: a copy of the response, 503 or 504 with Srv-Declined, 500, or a part of a response.

--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -18,6 +18,16 @@
     SendAndClose(Vec<u8>),
     /// Writes the first bytes, and after the delay the second; keeps the connection open.
     SendInTwoParts(Vec<u8>, Duration, Vec<u8>),
+    /// Writes a response and serves the connection's next request; after the delay, writes bytes that no request asked
+    /// for.
+    SendWithUnsolicited {
+        /// The response.
+        response: Vec<u8>,
+        /// Time between the response and the unsolicited bytes.
+        delay: Duration,
+        /// Bytes that no request asked for.
+        unsolicited: Vec<u8>,
+    },
     /// Closes the connection without a response.
     Close,
     /// Sends no response and keeps the connection open.
@@ -43,6 +53,7 @@
     arrivals: Vec<Instant>,
     accepted_connections: usize,
     closed_connections: usize,
+    unsolicited_writes: usize,
 }
 
 type ReplyFn = dyn Fn(&Message) -> Reply + Send + Sync;
@@ -110,7 +121,7 @@
         endpoint
     }
 
-    fn serve(mut stream: Stream, traffic: &Mutex<Traffic>, reply: &ReplyFn) {
+    fn serve(mut stream: Stream, traffic: &Arc<Mutex<Traffic>>, reply: &ReplyFn) {
         let mut input = BufReader::new(stream.clone_handle());
         while let Some(request) = Message::read(&mut input) {
             {
@@ -130,6 +141,18 @@
                     thread::sleep(delay);
                     stream.write_all(&second).unwrap_or_default();
                 }
+                Reply::SendWithUnsolicited {
+                    response,
+                    delay,
+                    unsolicited,
+                } => {
+                    stream.write_all(&response).unwrap_or_default();
+                    let stream = stream.clone_handle();
+                    let traffic = Arc::clone(traffic);
+                    thread::spawn(move || {
+                        send_unsolicited(stream, delay, &unsolicited, &traffic);
+                    });
+                }
                 Reply::Close => return,
                 Reply::NoResponse => {}
             }
@@ -179,6 +202,12 @@
         lock(&self.traffic).closed_connections
     }
 
+    /// Number of times that unsolicited bytes were written to a connection.
+    #[must_use]
+    pub fn unsolicited_writes(&self) -> usize {
+        lock(&self.traffic).unsolicited_writes
+    }
+
     /// Its entry in an endpoint list.
     #[must_use]
     pub fn endpoint_entry(&self, id: &str, lifecycle: &str) -> String {
@@ -186,6 +215,13 @@
     }
 }
 
+/// Writes bytes after a delay, also to a connection that the node has closed meanwhile.
+fn send_unsolicited(mut stream: Stream, delay: Duration, bytes: &[u8], traffic: &Mutex<Traffic>) {
+    thread::sleep(delay);
+    lock(traffic).unsolicited_writes += 1;
+    stream.write_all(bytes).unwrap_or_default();
+}
+
 fn lock(traffic: &Mutex<Traffic>) -> MutexGuard<'_, Traffic> {
     traffic
         .lock()
