Carry one request per connection to a server, so that no late response decides another

Callers saw responses that no server had made for their request, requests that had run refused, run again, sent outside their group or out twice at once.

Cause: a connection was reused as soon as its response had arrived. A complete second response of a server that arrived after the first byte of the next request was taken for the response to that request: a copy reached the wrong client; 503 or 504 with Srv-Declined counted as "never ran", so that the request was sent again or refused; an error started a retry while the connection, with the first attempt on it, stayed open. HTTP/1.1 has nothing that ties a response to its request but their order, and a server may write its second response after any delay, so no check or rest before reuse can exclude this.

Fix: an exchange consumes its connection, by type: `ServerConnection::exchange(self, ..)`. Requests carry `Connection: close`. Idle connections are only those whose dial outlasted its checkout and that have carried nothing. The cool-down and its score are removed; unsolicited bytes on an unused connection count against its address.

--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -50,12 +50,12 @@
 pub enum CloseReason {
     /// The peer closed it while it was idle.
     ByPeer,
-    /// The peer sent bytes that no request had asked for.
+    /// The peer sent bytes before the last byte of a request was written.
     UnsolicitedBytes,
     /// An exchange failed before the last byte of its request was written.
     Broken,
-    /// Any other reason: the connection cannot be reused, its exchange was abandoned, or the exchange failed
-    /// after the complete request was written.
+    /// Any other reason: its exchange is complete, was abandoned, or failed after the complete request was
+    /// written.
     Finished,
 }
 
--- a/crates/pool/src/checkout.rs
+++ b/crates/pool/src/checkout.rs
@@ -29,9 +29,7 @@
         if state.routes.iter().all(|entry| avoid.contains(&entry.id)) {
             return Checkout::Failed(CheckoutError::NoRoute);
         }
-        // An idle connection in its cool-down can be granted after it; without one, the pool has to dial.
-        let is_cooling_down = state.idle.iter().any(|idle| !avoid.contains(&idle.route));
-        if !is_cooling_down && !self.ensure_capacity(server, actions) {
+        if !self.ensure_capacity(server, actions) {
             return Checkout::Failed(CheckoutError::LimitReached);
         }
         let checkout = CheckoutId(self.next_id());
@@ -62,8 +60,13 @@
         self.serve_checkouts(now_ms, server, actions);
     }
 
-    /// Checks in a connection that can carry another exchange.
-    pub fn check_in(&mut self, now_ms: f64, connection: ConnectionId, actions: &mut Vec<Action>) {
+    /// Checks in a connection that has carried no exchange.
+    pub fn check_in_unused(
+        &mut self,
+        now_ms: f64,
+        connection: ConnectionId,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(in_use) = self.in_use.remove(&connection) else {
             return;
         };
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -6,6 +6,9 @@
 //! gets it immediately ([`Checkout::Ready`]); otherwise it holds a [`CheckoutId`] until a connection is
 //! granted or the checkout fails. Server selection sees one server, however many addresses it has.
 //!
+//! A connection carries at most one exchange, so that no response can be taken for that of an earlier or
+//! later request. Idle connections are those whose dial outlasted the checkout that it was started for.
+//!
 //! Dialing several addresses follows RFC 8305 (Happy Eyeballs): dials start in order, one stagger apart;
 //! the first to connect is used and the others are aborted before any byte of a request is written.
 //! The order is the operators' preference, then RFC 6724's precedence. Times are milliseconds on any
@@ -24,8 +27,8 @@
 //! pool.dial_succeeded(1.0, dial, &mut actions);
 //! let Action::Grant { checkout: granted, connection } = actions.remove(0) else { panic!("{actions:?}") };
 //! assert_eq!(checkout, granted);
-//! // The exchange is complete; the next attempt gets the idle connection immediately.
-//! pool.check_in(2.0, connection, &mut actions);
+//! // The attempt was canceled before its exchange; the next one gets the idle connection immediately.
+//! pool.check_in_unused(2.0, connection, &mut actions);
 //! assert_eq!(pool.check_out(2.0, server, &[], &mut actions), Checkout::Ready(connection));
 //! # Ok::<(), std::net::AddrParseError>(())
 //! ```
@@ -42,7 +45,6 @@
 mod recovery;
 mod route_health;
 mod server;
-mod unsolicited;
 
 pub use action::{
     Action, Checkout, CheckoutError, CheckoutId, CloseReason, ConnectionId, DialId, RouteId,
@@ -57,4 +59,3 @@
 pub use pool::{Pool, RouteStatus};
 pub use recovery::{recovery, BytesSent, ConnectionAge, ConnectionError, Recovery};
 pub use route_health::RouteHealth;
-pub use unsolicited::UnsolicitedByteScore;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -232,7 +232,7 @@
         self.schedule_wake(now_ms, actions);
     }
 
-    /// Processes the races, deadlines and cool-downs that are due. Called at the time of [`Action::WakeAt`].
+    /// Processes the races and deadlines that are due. Called at the time of [`Action::WakeAt`].
     pub fn handle_timer(&mut self, now_ms: f64, actions: &mut Vec<Action>) {
         self.wake_at_ms = f64::INFINITY;
         self.serve_active_servers(now_ms, actions);
--- a/crates/pool/src/recovery.rs
+++ b/crates/pool/src/recovery.rs
@@ -25,13 +25,13 @@
     InvalidResponse,
 }
 
-/// State of a connection at the beginning of an exchange.
+/// State of a connection at the beginning of its exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum ConnectionAge {
     /// It had just been established.
     New,
-    /// It had carried an exchange, or had been idle.
-    Reused,
+    /// It had been idle.
+    Idle,
 }
 
 /// Consequence of a failed exchange for its attempt.
@@ -60,15 +60,15 @@
 #[must_use]
 pub fn recovery(age: ConnectionAge, sent: BytesSent, error: ConnectionError) -> Recovery {
     match (sent, error, age) {
-        // A reused connection that turns out to be closed, or to hold unsolicited bytes, says nothing about
-        // its address.
+        // An idle connection that turns out to be closed, or to hold unsolicited bytes, says nothing about its
+        // address.
         (
             BytesSent::None,
             ConnectionError::Closed | ConnectionError::InvalidResponse,
-            ConnectionAge::Reused,
+            ConnectionAge::Idle,
         ) => Recovery::AnyConnection,
-        // A failure of a new connection counts against the address, and so does a peer that stops reading or
-        // a connection that fails during the request.
+        // A failure of a new connection counts against the address, and so does a peer that stops reading, a
+        // connection that fails during the request, and a peer that responds before it has the request.
         (BytesSent::None | BytesSent::Partial, ..) => Recovery::OtherAddress,
         (BytesSent::Complete, ConnectionError::Closed, _) => Recovery::Reset,
         (BytesSent::Complete, ConnectionError::InvalidResponse | ConnectionError::Stalled, _) => {
--- a/crates/pool/src/recovery/tests.rs
+++ b/crates/pool/src/recovery/tests.rs
@@ -6,29 +6,29 @@
 #[test]
 fn recovery_matches_every_cell_of_the_design_table() {
     use BytesSent::{Complete, None, Partial};
-    use ConnectionAge::{New, Reused};
+    use ConnectionAge::{Idle, New};
     use ConnectionError::{Closed, InvalidResponse, Stalled};
     use Recovery::{AnyConnection, Malformed, OtherAddress, Reset};
 
     let table = [
         (None, Closed, New, OtherAddress),
-        (None, Closed, Reused, AnyConnection),
+        (None, Closed, Idle, AnyConnection),
         (None, Stalled, New, OtherAddress),
-        (None, Stalled, Reused, OtherAddress),
+        (None, Stalled, Idle, OtherAddress),
         (None, InvalidResponse, New, OtherAddress),
-        (None, InvalidResponse, Reused, AnyConnection),
+        (None, InvalidResponse, Idle, AnyConnection),
         (Partial, Closed, New, OtherAddress),
-        (Partial, Closed, Reused, OtherAddress),
+        (Partial, Closed, Idle, OtherAddress),
         (Partial, Stalled, New, OtherAddress),
-        (Partial, Stalled, Reused, OtherAddress),
+        (Partial, Stalled, Idle, OtherAddress),
         (Partial, InvalidResponse, New, OtherAddress),
-        (Partial, InvalidResponse, Reused, OtherAddress),
+        (Partial, InvalidResponse, Idle, OtherAddress),
         (Complete, Closed, New, Reset),
-        (Complete, Closed, Reused, Reset),
+        (Complete, Closed, Idle, Reset),
         (Complete, Stalled, New, Malformed),
-        (Complete, Stalled, Reused, Malformed),
+        (Complete, Stalled, Idle, Malformed),
         (Complete, InvalidResponse, New, Malformed),
-        (Complete, InvalidResponse, Reused, Malformed),
+        (Complete, InvalidResponse, Idle, Malformed),
     ];
     for (sent, error, age, expected) in table {
         assert_eq!(
--- a/crates/pool/src/server.rs
+++ b/crates/pool/src/server.rs
@@ -10,7 +10,6 @@
 use crate::dial::DialRace;
 use crate::idle_timeout::IdleTimeout;
 use crate::route_health::{RouteHealth, RouteState};
-use crate::unsolicited::UnsolicitedByteScore;
 
 /// Capacity of the token bucket of dials to a server that is warming up, in dials; its refill rate is
 /// [`Limits::slow_start_dials_per_s`](crate::Limits::slow_start_dials_per_s).
@@ -104,13 +103,12 @@
     pub incarnation: u64,
     /// Routes in dial order.
     pub routes: Vec<RouteEntry>,
-    /// Idle connections, the most recently used last.
+    /// Idle connections, the one that became idle last at the end.
     pub idle: Vec<IdleConnection>,
     pub in_use: usize,
     pub pending: VecDeque<PendingCheckout>,
     pub races: Vec<DialRace>,
     pub warming_up_until_ms: f64,
-    unsolicited_score: UnsolicitedByteScore,
     dial_tokens: DialTokenBucket,
     waits: WaitCount,
 }
@@ -125,7 +123,6 @@
             pending: VecDeque::new(),
             races: Vec::new(),
             warming_up_until_ms: f64::NEG_INFINITY,
-            unsolicited_score: UnsolicitedByteScore::default(),
             dial_tokens: DialTokenBucket {
                 tokens: SLOW_START_DIAL_BURST,
                 updated_ms: f64::NEG_INFINITY,
@@ -170,8 +167,8 @@
         self.pending.retain(|pending| pending.checkout != checkout);
     }
 
-    /// Updates the route's health or idle timeout, or the score of unsolicited bytes, after a connection was
-    /// closed. `idle_ms` is how long the connection had been idle, if it was.
+    /// Updates the route's health or idle timeout after a connection was closed. `idle_ms` is how long the
+    /// connection had been idle, if it was.
     pub fn record_close(
         &mut self,
         now_ms: f64,
@@ -180,8 +177,7 @@
         idle_ms: Option<f64>,
     ) {
         match (reason, idle_ms) {
-            (CloseReason::UnsolicitedBytes, _) => self.unsolicited_score.record(now_ms),
-            (CloseReason::Broken, _) => {
+            (CloseReason::UnsolicitedBytes | CloseReason::Broken, _) => {
                 if let Some(entry) = self.route_mut(route) {
                     entry.health.record_failure(now_ms);
                 }
@@ -244,8 +240,8 @@
             .collect()
     }
 
-    /// Takes an idle connection that is past its cool-down: the most recently used one over the first route
-    /// in order that has any. Expired connections found on the way are closed.
+    /// Takes an idle connection: the one that became idle last, over the first route in order that has any.
+    /// Expired connections found on the way are closed.
     pub fn take_idle(
         &mut self,
         now_ms: f64,
@@ -253,9 +249,8 @@
         open_connections: &mut usize,
         actions: &mut Vec<Action>,
     ) -> Option<IdleConnection> {
-        let cool_down_ms = self.unsolicited_score.cool_down_ms(now_ms);
         loop {
-            let index = self.best_idle(now_ms, cool_down_ms, avoid)?;
+            let index = self.best_idle(avoid)?;
             let idle = self.idle.remove(index);
             if !self.is_expired(&idle, now_ms) {
                 return Some(idle);
@@ -267,10 +262,10 @@
         }
     }
 
-    fn best_idle(&self, now_ms: f64, cool_down_ms: f64, avoid: &[RouteId]) -> Option<usize> {
+    fn best_idle(&self, avoid: &[RouteId]) -> Option<usize> {
         let mut best: Option<(usize, usize)> = None;
         for (index, idle) in self.idle.iter().enumerate().rev() {
-            if now_ms < idle.since_ms + cool_down_ms || avoid.contains(&idle.route) {
+            if avoid.contains(&idle.route) {
                 continue;
             }
             let rank = self
@@ -339,24 +334,10 @@
             .map(DialRace::next_wake_ms)
             .fold(f64::INFINITY, f64::min);
         next_race_ms
-            .min(self.next_cool_down_end_ms(now_ms))
             .min(self.next_deadline_ms(now_ms))
             .min(self.next_allowed_dial_ms(now_ms, dials_per_s, max_races))
     }
 
-    /// Returns the next end of an idle connection's cool-down if a checkout waits, otherwise infinity.
-    fn next_cool_down_end_ms(&self, now_ms: f64) -> f64 {
-        if self.pending.is_empty() {
-            return f64::INFINITY;
-        }
-        let cool_down_ms = self.unsolicited_score.cool_down_ms(now_ms);
-        self.idle
-            .iter()
-            .map(|idle| idle.since_ms + cool_down_ms)
-            .filter(|end_ms| *end_ms > now_ms)
-            .fold(f64::INFINITY, f64::min)
-    }
-
     /// Returns the next deadline of a pending checkout. The queue is in the order of the deadlines.
     fn next_deadline_ms(&self, now_ms: f64) -> f64 {
         self.pending
--- a/src/node/upstream/http1/connection.rs
+++ b/src/node/upstream/http1/connection.rs
@@ -1,4 +1,4 @@
-//! An HTTP/1.1 connection to a server and the exchanges on it.
+//! An HTTP/1.1 connection to a server and its exchange.
 
 use std::future::{poll_fn, Future};
 use std::io::{self, Write};
@@ -10,7 +10,7 @@
 use flow_control::response_stall_timeout_ms;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
-use hyper::header::{HeaderName, HeaderValue, HOST};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use pool::{CloseReason, ConnectionError};
@@ -29,6 +29,7 @@
 const MAX_DEADLINE_TEXT_BYTES: usize = 24;
 const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
 const DEFAULT_HOST: HeaderValue = HeaderValue::from_static("service.internal");
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
 /// The hyper future that drives a connection. It owns the socket and makes progress only while it is polled.
 type HyperConnection = Pin<Box<Connection<TokioIo<MeteredStream>, AttemptBody>>>;
@@ -63,8 +64,7 @@
     }
 
     /// Implements [`ServerConnection::close_reason`](crate::node::upstream::ServerConnection::close_reason). Detects
-    /// a connection that was closed since its last exchange, on which a request would fail with a reset, and one that
-    /// received bytes beyond its last response.
+    /// an idle connection that was closed, on which a request would fail with a reset, and one that received bytes.
     pub fn close_reason(&mut self) -> Option<CloseReason> {
         let mut context = Context::from_waker(Waker::noop());
         poll_connection(&mut self.connection, &self.progress, &mut context);
@@ -85,7 +85,7 @@
     ///
     /// The exchange failed before a response head arrived.
     pub async fn exchange(
-        &mut self,
+        mut self,
         exchange: Exchange<'_>,
     ) -> Result<AttemptOutcome, ExchangeError> {
         let remaining_ms = exchange.remaining.as_secs_f64() * 1e3;
@@ -94,15 +94,11 @@
             Ok(response) => Ok(self
                 .read_response(response, stall_timeout, exchange.on_streamed_response)
                 .await),
-            Err(error) => {
-                self.close();
-                Err(ExchangeError {
-                    bytes_sent: self.progress.bytes_sent(),
-                    error,
-                    has_unsolicited_bytes: self.progress.has_unsolicited_bytes()
-                        || error == ConnectionError::InvalidResponse,
-                })
-            }
+            Err(error) => Err(ExchangeError {
+                bytes_sent: self.progress.bytes_sent(),
+                error,
+                has_unsolicited_bytes: self.progress.has_unsolicited_bytes(),
+            }),
         }
     }
 
@@ -140,11 +136,6 @@
         }
     }
 
-    /// Closes the socket.
-    pub(super) fn close(&mut self) {
-        self.connection = None;
-    }
-
     /// Awaits a future that depends on this connection while driving the connection.
     pub(super) async fn drive<F: Future>(&mut self, future: F) -> F::Output {
         drive(&mut self.connection, &self.progress, future).await
@@ -216,5 +207,6 @@
         headers.insert(REQ_DEADLINE, deadline);
     }
     headers.entry(HOST).or_insert(DEFAULT_HOST);
+    headers.insert(CONNECTION, CLOSE);
     hyper_request
 }
--- a/src/node/upstream/http1/response_reader.rs
+++ b/src/node/upstream/http1/response_reader.rs
@@ -27,7 +27,7 @@
 const WIRE_BYTES_PER_CHUNKED_BYTE: usize = 6;
 
 impl Http1Connection {
-    /// Reads a response whose head has arrived. The connection is closed if its body fails.
+    /// Reads a response whose head has arrived.
     pub(super) async fn read_response(
         &mut self,
         response: Response<Incoming>,
@@ -53,9 +53,6 @@
         let body = self
             .read_body(&head, body, stall_timeout, on_streamed_body)
             .await;
-        if body.is_err() {
-            self.close();
-        }
         let (result, body) = result_with_body(result, body);
         AttemptOutcome {
             result,
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -1,9 +1,10 @@
 //! The protocol-independent interface to servers: requests, responses, connections, and failed exchanges with the
 //! information whether the request may have run.
 //!
-//! Each protocol is a module with a connection type that dials, reports whether it can be reused, and performs one
-//! exchange at a time; [`ServerConnection`] is the enum of these types. Dropping an unfinished exchange together with
-//! its connection closes the socket.
+//! Each protocol is a module with a connection type that dials, reports whether it can still be used, and performs one
+//! exchange; [`ServerConnection`] is the enum of these types. An exchange consumes its connection: a response cannot be
+//! taken for that of another request, whatever a server sends and when. Dropping an unfinished exchange closes the
+//! socket.
 
 pub(in crate::node) mod addresses;
 mod http1;
@@ -114,7 +115,7 @@
     pub bytes_sent: BytesSent,
     /// The failure of the connection.
     pub error: ConnectionError,
-    /// Whether bytes arrived that are not part of a response to a request, or the response is invalid.
+    /// Whether bytes arrived before the last byte of the request was written.
     pub has_unsolicited_bytes: bool,
 }
 
@@ -162,24 +163,20 @@
             .map(Self::Http1)
     }
 
-    /// The reason why the connection cannot be used for another exchange, as far as the event loop has reported one;
-    /// `None` if it can be used.
+    /// The reason why the connection cannot be used for an exchange, as far as the event loop has reported one; `None`
+    /// if it can be used.
     pub fn close_reason(&mut self) -> Option<CloseReason> {
         match self {
             Self::Http1(connection) => connection.close_reason(),
         }
     }
 
-    /// Performs an exchange. Not cancel safe: if the future is dropped before it completes, the connection must be
-    /// closed.
+    /// Performs the connection's only exchange, and closes the connection. Dropping the future closes it, too.
     ///
     /// # Errors
     ///
     /// The exchange failed before a response head arrived.
-    pub async fn exchange(
-        &mut self,
-        exchange: Exchange<'_>,
-    ) -> Result<AttemptOutcome, ExchangeError> {
+    pub async fn exchange(self, exchange: Exchange<'_>) -> Result<AttemptOutcome, ExchangeError> {
         match self {
             Self::Http1(connection) => connection.exchange(exchange).await,
         }
--- a/src/node/upstream/servers.rs
+++ b/src/node/upstream/servers.rs
@@ -221,14 +221,6 @@
                 .is_none_or(|deadline| Instant::now() < deadline)
         })
     }
-
-    /// Whether a server drains or is gone, so that connections to it are closed after use.
-    fn is_draining(&self, server: ServerId) -> bool {
-        self.table
-            .borrow()
-            .get(&server)
-            .is_none_or(|server| server.drain_deadline.is_some())
-    }
 }
 
 #[cfg(test)]
--- a/src/node/upstream/servers/attempt.rs
+++ b/src/node/upstream/servers/attempt.rs
@@ -65,7 +65,7 @@
         let mut excluded_routes = Vec::new();
         let mut result_if_not_sendable = AttemptResult::NotSent;
         for _ in 0..MAX_EXCHANGES_PER_ATTEMPT {
-            let mut connection = match self.check_out(server, &excluded_routes).await {
+            let connection = match self.check_out(server, &excluded_routes).await {
                 Ok(connection) => connection,
                 Err(CheckoutError::LimitReached) if excluded_routes.is_empty() => {
                     log::line("an attempt was not sent: the connection limit is reached");
@@ -87,10 +87,7 @@
                 on_streamed_response: &on_streamed_response,
             };
             match connection.exchange(exchange).await {
-                Ok(outcome) => {
-                    connection.finish(server);
-                    return outcome;
-                }
+                Ok(outcome) => return outcome,
                 Err(FailedExchange { recovery, route }) => match recovery {
                     Recovery::AnyConnection => {}
                     Recovery::OtherAddress => {
--- a/src/node/upstream/servers/checked_out.rs
+++ b/src/node/upstream/servers/checked_out.rs
@@ -65,7 +65,6 @@
             servers: Rc::clone(self),
             id,
             socket: Some(socket),
-            has_begun_exchange: false,
         })
     }
 
@@ -113,95 +112,91 @@
 }
 
 /// A connection that one attempt has checked out. If it is dropped before its exchange has begun, it is returned to
-/// the pool. If it is dropped later, it is closed, since a part of a request or response may be pending on it.
+/// the pool.
 pub(super) struct CheckedOutConnection {
     servers: Rc<Servers>,
     id: ConnectionId,
-    /// `None` once it has been closed or checked in.
+    /// `None` once the exchange has begun, which consumes it.
     socket: Option<PooledConnection>,
-    has_begun_exchange: bool,
 }
 
 impl CheckedOutConnection {
-    /// Performs one exchange. On failure, closes the connection and reports that to the pool.
+    /// Performs the connection's only exchange, and reports the close of the connection to the pool.
     pub(super) async fn exchange(
-        &mut self,
+        mut self,
         exchange: Exchange<'_>,
     ) -> Result<AttemptOutcome, FailedExchange> {
-        self.has_begun_exchange = true;
-        let Some(socket) = &mut self.socket else {
+        let route = self.servers.pool.borrow().route_of(self.id);
+        let Some(socket) = self.socket.take() else {
             return Err(FailedExchange {
                 recovery: Recovery::AnyConnection,
-                route: None,
+                route,
             });
         };
+        let mut usage = ConnectionUse {
+            servers: Rc::clone(&self.servers),
+            id: self.id,
+            idle_since_ms: socket.idle_since_ms,
+            close: ConnectionClose::InUse(CloseReason::Finished),
+        };
         let result = socket.connection.exchange(exchange).await;
-        let age = socket.age;
         result.map_err(|error| {
-            let recovery = recovery(age, error.bytes_sent, error.error);
-            let route = self.servers.pool.borrow().route_of(self.id);
-            match recovery {
-                _ if error.has_unsolicited_bytes => self.close(CloseReason::UnsolicitedBytes),
-                Recovery::AnyConnection => self.close_as_stale(CloseReason::ByPeer),
-                Recovery::OtherAddress => self.close(CloseReason::Broken),
-                Recovery::Reset | Recovery::Malformed => self.close(CloseReason::Finished),
-            }
+            let recovery = recovery(socket.age, error.bytes_sent, error.error);
+            usage.close = match recovery {
+                _ if error.has_unsolicited_bytes => {
+                    ConnectionClose::InUse(CloseReason::UnsolicitedBytes)
+                }
+                Recovery::AnyConnection => ConnectionClose::Stale(CloseReason::ByPeer),
+                Recovery::OtherAddress => ConnectionClose::InUse(CloseReason::Broken),
+                Recovery::Reset | Recovery::Malformed => {
+                    ConnectionClose::InUse(CloseReason::Finished)
+                }
+            };
             FailedExchange { recovery, route }
         })
     }
+}
 
-    /// Ends the checkout after a response: returns the connection to the pool if it can be reused, and closes it
-    /// otherwise.
-    pub(super) fn finish(mut self, server: ServerId) {
-        let close_reason = self
-            .socket
-            .as_mut()
-            .and_then(|socket| socket.connection.close_reason());
-        match close_reason {
-            Some(reason) => self.close(reason),
-            None if self.servers.is_draining(server) => self.close(CloseReason::Finished),
-            None => self.check_in(),
-        }
-    }
-
-    /// Closes a reused connection that turned out to be closed by its peer, and reports its idle time to the pool.
-    fn close_as_stale(&mut self, reason: CloseReason) {
-        let Some(socket) = self.socket.take() else {
-            return;
-        };
-        let id = self.id;
-        self.servers.with_pool(|pool, now_ms, actions| {
-            pool.found_stale(now_ms, id, reason, now_ms - socket.idle_since_ms, actions);
-        });
-    }
-
-    fn close(&mut self, reason: CloseReason) {
-        let closed = self.socket.take();
-        if closed.is_some() {
-            let id = self.id;
-            self.servers.with_pool(|pool, now_ms, actions| {
-                pool.connection_closed(now_ms, id, reason, actions);
-            });
-        }
-    }
-
-    fn check_in(&mut self) {
+impl Drop for CheckedOutConnection {
+    fn drop(&mut self) {
         let Some(PooledConnection { connection, .. }) = self.socket.take() else {
             return;
         };
         self.servers.store_idle(self.id, connection);
         let id = self.id;
         self.servers
-            .with_pool(|pool, now_ms, actions| pool.check_in(now_ms, id, actions));
+            .with_pool(|pool, now_ms, actions| pool.check_in_unused(now_ms, id, actions));
     }
 }
 
-impl Drop for CheckedOutConnection {
+/// How the pool learns of the close of a connection.
+#[derive(Clone, Copy)]
+enum ConnectionClose {
+    /// It was closed in use.
+    InUse(CloseReason),
+    /// It turned out to have been closed while it was idle.
+    Stale(CloseReason),
+}
+
+/// The use of a connection by its exchange. Dropping it reports the close of the connection to the pool, also if the
+/// exchange was aborted.
+struct ConnectionUse {
+    servers: Rc<Servers>,
+    id: ConnectionId,
+    idle_since_ms: f64,
+    close: ConnectionClose,
+}
+
+impl Drop for ConnectionUse {
     fn drop(&mut self) {
-        if self.has_begun_exchange {
-            self.close(CloseReason::Finished);
-        } else {
-            self.check_in();
+        let (id, idle_since_ms) = (self.id, self.idle_since_ms);
+        match self.close {
+            ConnectionClose::InUse(reason) => self.servers.with_pool(|pool, now_ms, actions| {
+                pool.connection_closed(now_ms, id, reason, actions);
+            }),
+            ConnectionClose::Stale(reason) => self.servers.with_pool(|pool, now_ms, actions| {
+                pool.found_stale(now_ms, id, reason, now_ms - idle_since_ms, actions);
+            }),
         }
     }
 }
--- a/src/node/upstream/servers/idle.rs
+++ b/src/node/upstream/servers/idle.rs
@@ -1,4 +1,4 @@
-//! The sockets of idle connections.
+//! The sockets of idle connections, which have carried no exchange.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -23,7 +23,7 @@
         let idle = PooledConnection {
             connection,
             idle_since_ms: self.now_ms(),
-            age: ConnectionAge::Reused,
+            age: ConnectionAge::Idle,
         };
         self.idle_connections.borrow_mut().insert(id, idle);
     }
@@ -33,7 +33,7 @@
         self.with_pool(|pool, _, actions| pool.close_idle(ServerKey(server.0), actions));
     }
 
-    /// Closes idle connections that have been idle for too long or that cannot be reused, for example because their
+    /// Closes idle connections that have been idle for too long or that cannot be used, for example because their
     /// servers have closed them.
     pub fn close_expired(self: &Rc<Self>) {
         let mut closed = HashMap::new();
