Show that a response before a request's last byte is taken for its response

A server begins a request when it has the last byte, so a 200 that it writes earlier was not made for that request. The test sends half of an upload of 600 kB; the server writes a complete response after 1 or 50,000 bytes of it, and reads on.

--- a/tests/response_attribution.rs
+++ b/tests/response_attribution.rs
@@ -2,13 +2,16 @@
 //! response to its own request, and no request runs twice.
 
 use std::collections::HashMap;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use testkit::{
-    config, endpoint_list, post_request, read_request, response, settings, Discovery, Message,
-    Node, Reply, Server,
+    config, endpoint_entry, endpoint_list, post_request, read_request, response, settings,
+    Discovery, Message, Node, Reply, Server, WAIT_TIMEOUT,
 };
 
 const SERVERS: usize = 6;
@@ -231,3 +234,79 @@
         );
     }
 }
+
+/// Length of an upload that a node forwards while it is received, in bytes.
+const UPLOAD_BYTES: usize = 600_000;
+
+/// Starts a server that writes `reply` on each connection when it has read this many bytes, and then reads on. Returns
+/// its address, and a receiver of the number of bytes read until the end of each connection.
+fn start_early_server(prefix_bytes: usize, reply: Vec<u8>) -> (SocketAddr, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
+    let address = listener.local_addr().expect("read the local address");
+    let (sender, read_bytes) = channel();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut bytes = Vec::new();
+            let mut prefix = (&stream).take(prefix_bytes as u64);
+            let _ = prefix.read_to_end(&mut bytes);
+            let _ = stream.write_all(&reply);
+            let _ = stream.read_to_end(&mut bytes);
+            if sender.send(bytes.len()).is_err() {
+                return;
+            }
+        }
+    });
+    (address, read_bytes)
+}
+
+/// Guards against a response that was sent before the server had the request and is taken for the response to it. The
+/// server must not get the rest of the request either, since it would run without its client knowing.
+#[test]
+fn response_before_the_last_byte_of_a_request_is_not_forwarded() {
+    let replies = [
+        response("200 OK", "", "early"),
+        response("200 OK", "", &"long".repeat(50_000)),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n".to_vec(),
+        response("500 Internal Server Error", "", "early"),
+        response("503 Service Unavailable", "Srv-Declined: 1\r\n", ""),
+    ];
+    for reply in replies {
+        for prefix_bytes in [1, 50_000] {
+            let (address, read_bytes) = start_early_server(prefix_bytes, reply.clone());
+            let discovery = Discovery::start();
+            let entry = endpoint_entry("s-early", address, "ready");
+            let endpoints = endpoint_list(1, true, &[entry]);
+            let node = Node::start(&config(discovery.address, &endpoints, &settings(15_000)));
+            let head = post_request("a", "pay", "", "").replace(
+                "Content-Length: 0",
+                &format!("Content-Length: {UPLOAD_BYTES}"),
+            );
+            let mut stream = TcpStream::connect(node.address).expect("connect to the node");
+            let timeout = Some(WAIT_TIMEOUT);
+            stream
+                .set_read_timeout(timeout)
+                .expect("set the read timeout");
+            let first_half = [head.as_bytes(), &vec![b'x'; UPLOAD_BYTES / 2]].concat();
+            stream.write_all(&first_half).expect("write the first half");
+            let mut upload = stream.try_clone().expect("duplicate a socket");
+            let rest = thread::spawn(move || {
+                thread::sleep(Duration::from_millis(100));
+                let _ = upload.write_all(&vec![b'x'; UPLOAD_BYTES / 2]);
+            });
+            let case = format!(
+                "{} after {prefix_bytes} bytes",
+                String::from_utf8_lossy(&reply[..30])
+            );
+            let answer = Message::read(&mut BufReader::new(stream));
+            let status = answer.expect("the node answers the request").status();
+            assert_ne!(status, 200, "{case}");
+            let read_bytes = read_bytes.recv_timeout(WAIT_TIMEOUT);
+            let read_bytes = read_bytes.expect("the node closes the connection");
+            assert!(
+                read_bytes < UPLOAD_BYTES,
+                "{case}: the server got the request"
+            );
+            rest.join().expect("the uploading thread does not panic");
+        }
+    }
+}
