Take no bytes that arrive before a request's last byte for its response

Callers could get a response that a server had written before it had their request.

Cause: a response head ended an exchange whether or not the request had been written to its end, and the rest of the request could still be written after it. A server runs a request once it has the last byte, so such a response was not made for it, and the request could run without anybody reading its response.

Fix: before each write of a request, and not only before the first, the socket is checked for input; if there is any, nothing more is written, so the request has not run. A response to a request that is not completely written is an error of the exchange; the attempt continues over another address if the body can be sent again. Servers never get "Expect" from the node, so an interim response before the last byte is not expected and counts as early, too.

The check is one system call more for each write after the first, that is for uploads alone.

--- a/src/node/upstream/http1/connection.rs
+++ b/src/node/upstream/http1/connection.rs
@@ -13,7 +13,7 @@
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, HOST};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use pool::{CloseReason, ConnectionError};
+use pool::{BytesSent, CloseReason, ConnectionError};
 
 use super::metered::MeteredStream;
 use super::progress::{ExchangeProgress, MIN_SEND_STALL_TIMEOUT};
@@ -90,7 +90,8 @@
     ) -> Result<AttemptOutcome, ExchangeError> {
         let remaining_ms = exchange.remaining.as_secs_f64() * 1e3;
         let stall_timeout = Duration::from_secs_f64(response_stall_timeout_ms(remaining_ms) / 1e3);
-        match self.send(exchange, stall_timeout).await {
+        let sent = self.send(exchange, stall_timeout).await;
+        match sent.and_then(|response| self.reject_early_response(response)) {
             Ok(response) => Ok(self
                 .read_response(response, stall_timeout, exchange.on_streamed_response)
                 .await),
@@ -136,6 +137,20 @@
         }
     }
 
+    /// Rejects a response that arrived before the last byte of the request was written: it is not the response to that
+    /// request, which has not run.
+    fn reject_early_response(
+        &self,
+        response: Response<Incoming>,
+    ) -> Result<Response<Incoming>, ConnectionError> {
+        if self.progress.bytes_sent() == BytesSent::Complete {
+            return Ok(response);
+        }
+        self.progress.record_unsolicited_bytes();
+        log::line("a server responded before it had the last byte of the request");
+        Err(ConnectionError::InvalidResponse)
+    }
+
     /// Awaits a future that depends on this connection while driving the connection.
     pub(super) async fn drive<F: Future>(&mut self, future: F) -> F::Output {
         drive(&mut self.connection, &self.progress, future).await
--- a/src/node/upstream/http1/metered.rs
+++ b/src/node/upstream/http1/metered.rs
@@ -11,17 +11,17 @@
 use super::progress::ExchangeProgress;
 use crate::node::upstream::stream::{PendingInput, Stream};
 
-/// The connection was closed, or received bytes, before its request began.
+/// The connection was closed, or received bytes, before the last byte of its request was written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct InputBeforeRequest;
+struct InputBeforeRequestEnd;
 
-impl fmt::Display for InputBeforeRequest {
+impl fmt::Display for InputBeforeRequestEnd {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the connection was closed or received bytes before the request")
+        f.write_str("the connection was closed or received bytes before the end of the request")
     }
 }
 
-impl std::error::Error for InputBeforeRequest {}
+impl std::error::Error for InputBeforeRequestEnd {}
 
 /// A stream whose reads and writes are recorded.
 pub struct MeteredStream {
@@ -44,19 +44,19 @@
         result
     }
 
-    /// Checks, before the first byte of a request, for input that the event loop may not have reported yet:
-    /// unsolicited bytes would be taken for the response. If the check fails, nothing is written, so the request
-    /// cannot have run.
-    fn check_input_before_request(&self) -> io::Result<()> {
-        if self.progress.has_written() {
-            return Ok(());
+    /// Checks, before each write of a request, for input: a server runs a request once it has the last byte, so bytes
+    /// that arrive earlier are not the response. Asks the system, since the event loop may not have reported the input
+    /// yet. If the check fails, nothing more is written, so the request cannot have run.
+    fn check_input_before_write(&self) -> io::Result<()> {
+        if !self.progress.has_received() {
+            match self.stream.pending_input() {
+                PendingInput::None => return Ok(()),
+                PendingInput::Bytes => {}
+                PendingInput::Closed => return Err(io::Error::other(InputBeforeRequestEnd)),
+            }
         }
-        match self.stream.pending_input() {
-            PendingInput::None => return Ok(()),
-            PendingInput::Bytes => self.progress.record_unsolicited_bytes(),
-            PendingInput::Closed => {}
-        }
-        Err(io::Error::other(InputBeforeRequest))
+        self.progress.record_unsolicited_bytes();
+        Err(io::Error::other(InputBeforeRequestEnd))
     }
 }
 
@@ -82,7 +82,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check_input_before_request()?;
+        self.check_input_before_write()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.record_write(result)
     }
@@ -92,7 +92,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check_input_before_request()?;
+        self.check_input_before_write()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.record_write(result)
     }
--- a/src/node/upstream/http1/metered/tests.rs
+++ b/src/node/upstream/http1/metered/tests.rs
@@ -35,3 +35,32 @@
     );
     assert!(metered.progress.has_unsolicited_bytes());
 }
+
+/// Guards against writing the last byte of a request behind a response that has already arrived: the request would run,
+/// and the response would be taken for its own.
+#[tokio::test]
+async fn request_is_not_continued_once_bytes_have_arrived() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
+    let address = Address::Ip(listener.local_addr().expect("get the listener's address"));
+    let stream = Stream::connect(&address)
+        .await
+        .expect("connect to the listener");
+    let (mut server, _) = listener.accept().expect("accept the connection");
+    let mut metered = MeteredStream::new(stream, Rc::default());
+    metered.progress.begin(&Counter::default());
+    metered.progress.set_body_complete(false);
+    let mut cx = Context::from_waker(Waker::noop());
+    let first = Pin::new(&mut metered).poll_write(&mut cx, b"POST / HTTP/1.1\r\n");
+    assert!(matches!(first, Poll::Ready(Ok(_))), "{first:?}");
+    server
+        .write_all(b"HTTP/1.1 200 OK\r\n")
+        .expect("write to the connection");
+    testkit::wait_until("the bytes have arrived", || {
+        metered.stream.pending_input() == PendingInput::Bytes
+    });
+    metered.progress.set_body_complete(true);
+    let last = Pin::new(&mut metered).poll_write(&mut cx, b"\r\n");
+    assert!(matches!(last, Poll::Ready(Err(_))), "{last:?}");
+    assert_eq!(metered.progress.bytes_sent(), BytesSent::Partial);
+    assert!(metered.progress.has_unsolicited_bytes());
+}
--- a/src/node/upstream/http1/progress.rs
+++ b/src/node/upstream/http1/progress.rs
@@ -56,8 +56,7 @@
 }
 
 impl ExchangeProgress {
-    /// Resets the progress for the next request. Faults of the connection (unsolicited bytes, an exceeded response
-    /// limit) stay recorded.
+    /// Prepares the progress for the connection's request. Unsolicited bytes stay recorded.
     pub fn begin(&self, sent_attempts: &Counter) {
         self.sent_attempts.replace(sent_attempts.clone());
         self.written_bytes.set(0);
@@ -88,6 +87,11 @@
         self.written_bytes.get() > 0
     }
 
+    /// Whether any byte has been received.
+    pub fn has_received(&self) -> bool {
+        self.read_bytes.get() > 0
+    }
+
     /// Sets the number of bytes that the current response may have beyond the limit of a buffered one.
     pub fn allow_additional_bytes(&self, bytes: usize) {
         self.additional_bytes.set(bytes);
@@ -98,12 +102,12 @@
         self.exceeds_response_limit.get()
     }
 
-    /// Whether bytes arrived that are not part of a response to a request.
+    /// Whether bytes arrived before the last byte of the request was written.
     pub fn has_unsolicited_bytes(&self) -> bool {
         self.has_unsolicited_bytes.get()
     }
 
-    /// Records that bytes arrived that are not part of a response to a request.
+    /// Records that bytes arrived before the last byte of the request was written.
     pub fn record_unsolicited_bytes(&self) {
         self.has_unsolicited_bytes.set(true);
     }
