Log attempts by request id, and count attempt results and connections to servers

The report could not be followed from client to server: the node logged nothing of the requests that it sent again or refused.

Each attempt that is not served, each retry, each failed exchange with what had been sent, and each request that is rejected, failed or abandoned after an attempt now has a line with the client's id, the attempt's number, the server, the reason and whether the request may have run. These lines have a limit of 20 a second of their own, so that they do not suppress lines about the node; names of servers are looked up only for lines that are written. STATS ends with counters of attempts by result, retries, connections to servers, and connections with bytes before the request's end.

--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -8,6 +8,8 @@
 use std::fmt::Write;
 use std::rc::Rc;
 
+use crate::upstream_metrics::UpstreamMetrics;
+
 /// A counter whose clones share one value.
 #[derive(Clone, Debug, Default)]
 pub struct Counter(Rc<Cell<u64>>);
@@ -77,6 +79,8 @@
 #[derive(Debug, Default)]
 pub struct Metrics {
     classes: Vec<Rc<ClassMetrics>>,
+    /// Counters of attempts and of connections to servers.
+    pub upstream: Rc<UpstreamMetrics>,
 }
 
 impl Metrics {
@@ -90,6 +94,7 @@
         };
         Self {
             classes: class_names.into_iter().map(new_class).collect(),
+            upstream: Rc::default(),
         }
     }
 
--- a/src/node/admin/log.rs
+++ b/src/node/admin/log.rs
@@ -1,12 +1,13 @@
-//! The node's log: lines on standard error, with a limit on lines per second.
+//! The node's log: lines on standard error, with a limit on lines per second for each of its two channels: events of the
+//! node, and events of single requests. Many of the latter do not suppress the former.
 //!
-//! The limit applies to each thread; a node has one thread.
+//! The limits apply to each thread; a node has one thread.
 
 use std::cell::Cell;
 use std::fmt::Display;
 use std::time::{Duration, Instant};
 
-/// Maximum number of lines per second, so that a hostile peer cannot fill the log.
+/// Maximum number of lines per second and channel, so that a hostile peer cannot fill the log.
 const MAX_LINES_PER_SECOND: u32 = 20;
 const WINDOW_LENGTH: Duration = Duration::from_secs(1);
 
@@ -18,14 +19,24 @@
 }
 
 thread_local! {
-    static WINDOW: Cell<Option<Window>> = const { Cell::new(None) };
+    static NODE_EVENTS: Cell<Option<Window>> = const { Cell::new(None) };
+    static REQUEST_EVENTS: Cell<Option<Window>> = const { Cell::new(None) };
 }
 
-/// Writes a line unless the limit per second is reached. Line breaks in `text` are replaced, so that an event is always
-/// one line.
+/// Writes a line about the node unless the limit per second is reached. Line breaks in `text` are replaced, so that an
+/// event is always one line.
 pub fn line(text: impl Display) {
-    let window = current_window(Instant::now());
-    WINDOW.set(Some(Window {
+    NODE_EVENTS.with(|channel| write(channel, &text));
+}
+
+/// Like [`line`], for an event of a single request.
+pub fn request_line(text: impl Display) {
+    REQUEST_EVENTS.with(|channel| write(channel, &text));
+}
+
+fn write(channel: &Cell<Option<Window>>, text: &dyn Display) {
+    let window = current_window(channel.get(), Instant::now());
+    channel.set(Some(Window {
         requested_lines: window.requested_lines.saturating_add(1),
         ..window
     }));
@@ -36,8 +47,7 @@
 
 /// Returns the window that contains `now`. If a new window begins, logs how many lines were suppressed in the previous
 /// one.
-fn current_window(now: Instant) -> Window {
-    let previous = WINDOW.get();
+fn current_window(previous: Option<Window>, now: Instant) -> Window {
     if let Some(window) = previous {
         if now - window.start < WINDOW_LENGTH {
             return window;
--- a/src/node/admin/server.rs
+++ b/src/node/admin/server.rs
@@ -94,6 +94,7 @@
         if let Some(cluster) = &self.cluster {
             rows.push_str(&cluster.metrics());
         }
+        rows.push_str(&self.dispatcher.metrics.upstream.render());
         end_rows(rows)
     }
 
--- a/src/node/dispatcher/attempts.rs
+++ b/src/node/dispatcher/attempts.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::in_flight::{FinalResponse, InFlightAttempt, InFlightRequest};
+use super::request_log::AttemptName;
 use super::Dispatcher;
 use crate::node::upstream::servers::RunningAttempt;
 use crate::node::upstream::{AttemptOutcome, UpstreamResponse};
@@ -15,6 +16,16 @@
 /// A callback that receives the cluster-wide key of a server and the result of an attempt sent to it.
 pub(super) type AttemptObserver = Rc<dyn Fn(u64, AttemptResult)>;
 
+/// The end of an attempt.
+#[derive(Clone, Copy)]
+pub(super) struct EndedAttempt {
+    pub(super) number: usize,
+    pub(super) server: ServerId,
+    pub(super) elapsed: Duration,
+    pub(super) result: AttemptResult,
+    pub(super) report: Option<LoadReport>,
+}
+
 /// Whether the response of an attempt with this result is the final response to its request.
 fn is_final(result: AttemptResult) -> bool {
     matches!(result, AttemptResult::Served | AttemptResult::ClientError)
@@ -58,10 +69,23 @@
         request.attempts += 1;
         if !self.may_send(request, attempt, now) {
             drop(in_flight);
-            let result = AttemptResult::NotSent;
-            return self.report_outcome(request_number, attempt, Duration::ZERO, result, None);
+            let not_sent = EndedAttempt {
+                number: attempt,
+                server,
+                elapsed: Duration::ZERO,
+                result: AttemptResult::NotSent,
+                report: None,
+            };
+            return self.report_outcome(request_number, not_sent);
         }
         let message = Rc::clone(&request.message);
+        if attempt > 0 {
+            self.log_retry(AttemptName {
+                request: &message,
+                number: attempt,
+                server,
+            });
+        }
         // Checked again once a connection is available: a retry must not be sent late because its dial took long.
         message.send_deadline.set(request.retry_deadline);
         let deadline = request
@@ -123,7 +147,7 @@
         attempt: usize,
         mut outcome: AttemptOutcome,
     ) {
-        let elapsed = {
+        let (server, elapsed) = {
             let mut in_flight = self.in_flight.borrow_mut();
             let Some(request) = in_flight.get_mut(&request_number) else {
                 return;
@@ -139,35 +163,44 @@
             ) {
                 let _ = responder.send(FinalResponse::Served(response)); // A disconnect is handled separately.
             }
-            current
+            let elapsed = current
                 .streaming_after
-                .unwrap_or_else(|| current.sent_at.elapsed())
+                .unwrap_or_else(|| current.sent_at.elapsed());
+            (current.server, elapsed)
         };
-        self.report_outcome(
-            request_number,
-            attempt,
+        let ended = EndedAttempt {
+            number: attempt,
+            server,
             elapsed,
-            outcome.result,
-            outcome.report,
-        );
+            result: outcome.result,
+            report: outcome.report,
+        };
+        self.report_outcome(request_number, ended);
     }
 
-    /// Reports the outcome of an attempt to the balancer.
-    pub(super) fn report_outcome(
-        self: &Rc<Self>,
-        request_number: u64,
-        attempt: usize,
-        elapsed: Duration,
-        result: AttemptResult,
-        report: Option<LoadReport>,
-    ) {
+    /// Reports the outcome of an attempt to the balancer, the metrics and the log.
+    pub(super) fn report_outcome(self: &Rc<Self>, request_number: u64, ended: EndedAttempt) {
+        let EndedAttempt {
+            number: attempt,
+            server,
+            elapsed,
+            result,
+            report,
+        } = ended;
         let complete = {
             let mut in_flight = self.in_flight.borrow_mut();
             let mut request = in_flight.get_mut(&request_number);
             if let Some(request) = &mut request {
                 if result.may_have_run() {
+                    request.may_have_run = true;
                     request.start_retry_window(elapsed);
                 }
+                let name = AttemptName {
+                    request: &request.message,
+                    number: attempt,
+                    server,
+                };
+                self.log_attempt_end(name, result, elapsed);
             }
             request.is_none_or(|request| request.responder.is_none())
         };
@@ -203,13 +236,7 @@
     /// Cancels an attempt on behalf of the balancer.
     pub(super) fn cancel(self: &Rc<Self>, request_number: u64, attempt: usize) {
         if let Some(cancelled) = self.abort_attempt(request_number, Some(attempt)) {
-            self.report_outcome(
-                request_number,
-                attempt,
-                cancelled.sent_at.elapsed(),
-                AttemptResult::Cancelled,
-                None,
-            );
+            self.report_outcome(request_number, cancelled.ended(AttemptResult::Cancelled));
         }
     }
 }
--- a/src/node/dispatcher/in_flight.rs
+++ b/src/node/dispatcher/in_flight.rs
@@ -11,6 +11,8 @@
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
+use super::attempts::EndedAttempt;
+use super::request_log::{log_disconnect, log_final_response};
 use super::timers::TimerKind;
 use super::Dispatcher;
 use crate::node::admin::log;
@@ -71,6 +73,19 @@
     pub(super) streaming_after: Option<Duration>,
 }
 
+impl InFlightAttempt {
+    /// The end of the attempt now, without a response.
+    pub(super) fn ended(&self, result: AttemptResult) -> EndedAttempt {
+        EndedAttempt {
+            number: self.number,
+            server: self.server,
+            elapsed: self.sent_at.elapsed(),
+            result,
+            report: None,
+        }
+    }
+}
+
 /// A request whose client waits for a response or that has an attempt in flight.
 pub(super) struct InFlightRequest {
     /// The sender of the final response; `None` once that has been sent or the client has disconnected.
@@ -86,6 +101,8 @@
     pub(super) retry_deadline: Option<Instant>,
     /// Time after the first attempt that may have run during which a retry may start; `None` without a limit.
     pub(super) retry_window: Option<Duration>,
+    /// Whether an attempt that has ended may have run.
+    pub(super) may_have_run: bool,
 }
 
 impl InFlightRequest {
@@ -106,6 +123,7 @@
             attempt: None,
             retry_deadline: None,
             retry_window,
+            may_have_run: false,
         };
         (request, response)
     }
@@ -228,7 +246,11 @@
             .in_flight
             .borrow_mut()
             .get_mut(&request_number)
-            .and_then(|request| request.responder.take());
+            .and_then(|request| {
+                let responder = request.responder.take()?;
+                log_final_response(request, &response);
+                Some(responder)
+            });
         if let Some(responder) = responder {
             let _ = responder.send(response); // A disconnect is handled separately.
         }
@@ -240,13 +262,7 @@
     pub(super) fn expire_request(self: &Rc<Self>, request_number: u64) {
         if let Some(attempt) = self.abort_attempt(request_number, None) {
             self.notify_observer(attempt.server, AttemptResult::TimedOut);
-            self.report_outcome(
-                request_number,
-                attempt.number,
-                attempt.sent_at.elapsed(),
-                AttemptResult::TimedOut,
-                None,
-            );
+            self.report_outcome(request_number, attempt.ended(AttemptResult::TimedOut));
         }
         let is_unanswered = self
             .in_flight
@@ -280,7 +296,9 @@
             .and_then(|request| {
                 // Where the settings forbid cancellation, its attempt may still be waiting for a connection.
                 request.message.send_deadline.set(Some(Instant::now()));
-                request.responder.take()
+                let responder = request.responder.take()?;
+                log_disconnect(request);
+                Some(responder)
             });
         if responder.is_some() {
             self.remove_if_finished(request_number);
--- a/src/node/dispatcher/mod.rs
+++ b/src/node/dispatcher/mod.rs
@@ -8,6 +8,7 @@
 
 mod attempts;
 mod in_flight;
+mod request_log;
 mod server_ids;
 mod settings_names;
 mod timers;
@@ -86,12 +87,20 @@
             .map_err(|error| ConfigError::Settings(SettingsFormatError::OutOfRange(error)))?;
         let clock = Clock::new();
         let names = SettingNames::new(config);
+        let metrics = Metrics::new(names.classes.in_order());
+        let servers = Servers::new(
+            config,
+            configured_addresses,
+            pool_limits,
+            clock,
+            Rc::clone(&metrics.upstream),
+        );
         let dispatcher = Rc::new(Self {
             balancer: RefCell::new(balancer),
             clock,
-            metrics: Metrics::new(names.classes.in_order()),
+            metrics,
             names,
-            servers: Servers::new(config, configured_addresses, pool_limits, clock),
+            servers,
             server_ids: RefCell::default(),
             max_attempts: config.settings.max_attempts,
             max_in_flight: config.max_in_flight,
--- a/src/node/dispatcher/unanswered.rs
+++ b/src/node/dispatcher/unanswered.rs
@@ -8,8 +8,6 @@
 
 /// Maximum number of unanswered requests that are logged individually. If there are more, their number is logged, too.
 const MAX_LOGGED_REQUESTS: usize = 20;
-/// The header with the client's id of a request.
-const REQUEST_ID_HEADER: &str = "req-id";
 
 impl Dispatcher {
     /// Logs the requests without a response, oldest first, with the ids that the clients assigned.
@@ -33,12 +31,7 @@
 }
 
 fn log_unanswered(request: &InFlightRequest, now: Instant) {
-    let id = request
-        .message
-        .headers
-        .get(REQUEST_ID_HEADER)
-        .and_then(|id| id.to_str().ok())
-        .unwrap_or("-");
+    let id = request.message.client_id();
     let remaining_ms = request.deadline.saturating_duration_since(now).as_millis();
     let attempt = request
         .attempt
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -54,7 +54,17 @@
     Streamed(Upload),
 }
 
+/// The header with the client's id of a request.
+const REQUEST_ID_HEADER: &str = "req-id";
+
 impl UpstreamRequest {
+    /// The id that the client assigned, for log lines; `-` if it is not text.
+    #[must_use]
+    pub fn client_id(&self) -> &str {
+        let id = self.headers.get(REQUEST_ID_HEADER);
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
     /// Whether an attempt may send the request now: no other attempt has consumed a part of a streamed body, and the
     /// send deadline has not passed. The send deadline passes when the client disconnects, or when servers may have
     /// discarded the idempotency key of an earlier attempt.
@@ -126,7 +136,7 @@
         } = self;
         write!(
             f,
-            "exchange failed: {error:?}, request bytes sent: {bytes_sent:?}"
+            "exchange failed ({error:?}, request bytes sent: {bytes_sent:?})"
         )
     }
 }
--- a/src/node/upstream/servers.rs
+++ b/src/node/upstream/servers.rs
@@ -11,10 +11,12 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use admin::UpstreamMetrics;
 use balancer::ServerId;
 use endpoint_discovery::{Endpoint, Lifecycle};
 use pool::{AddressOwners, CheckoutId, ConnectionId, DialId, Limits, Pool, ServerKey};
@@ -64,6 +66,22 @@
     slow_start_ms: f64,
     drain_grace: Duration,
     clock: Clock,
+    metrics: Rc<UpstreamMetrics>,
+}
+
+/// Displays the name of a server.
+pub struct ServerLabel<'a> {
+    servers: &'a Servers,
+    server: ServerId,
+}
+
+impl fmt::Display for ServerLabel<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.servers.table.borrow().get(&self.server) {
+            Some(server) => f.write_str(&server.endpoint.id),
+            None => f.write_str("a removed server"),
+        }
+    }
 }
 
 impl Servers {
@@ -74,6 +92,7 @@
         configured_addresses: ConfiguredAddresses,
         pool_limits: PoolLimits,
         clock: Clock,
+        metrics: Rc<UpstreamMetrics>,
     ) -> Rc<Self> {
         let as_ms = |time: Duration| time.as_secs_f64() * 1e3;
         let max_connections = config.limits.server_connections();
@@ -106,6 +125,7 @@
             slow_start_ms: config.settings.slow_start_ms,
             drain_grace: config.drain_grace,
             clock,
+            metrics,
         })
     }
 
@@ -212,6 +232,15 @@
         self.update_routes(&changed);
     }
 
+    /// The name of a server, for log lines. It is looked up when it is displayed.
+    #[must_use]
+    pub fn label(&self, server: ServerId) -> ServerLabel<'_> {
+        ServerLabel {
+            servers: self,
+            server,
+        }
+    }
+
     /// Whether a request to a server may start now: the server is known and, if it drains, its grace period has not
     /// ended.
     fn accepts_requests(&self, server: ServerId) -> bool {
--- a/src/node/upstream/servers/actions.rs
+++ b/src/node/upstream/servers/actions.rs
@@ -73,10 +73,7 @@
     }
 
     fn log_route(&self, server: ServerKey, route: &Route, status: &str) {
-        let table = self.table.borrow();
-        let id = table
-            .get(&ServerId(server.0))
-            .map_or("a removed server", |entry| entry.endpoint.id.as_str());
+        let id = self.label(ServerId(server.0));
         let label = route
             .label
             .as_deref()
@@ -100,6 +97,7 @@
         let now_ms = self.now_ms();
         let mut dialed = None;
         if let Ok(socket) = result {
+            self.metrics.connections.increment();
             let is_used = self
                 .pool
                 .borrow_mut()
--- a/src/node/upstream/servers/attempt.rs
+++ b/src/node/upstream/servers/attempt.rs
@@ -88,17 +88,40 @@
             };
             match connection.exchange(exchange).await {
                 Ok(outcome) => return outcome,
-                Err(FailedExchange { recovery, route }) => match recovery {
-                    Recovery::AnyConnection => {}
-                    Recovery::OtherAddress => {
-                        excluded_routes.extend(route);
-                        result_if_not_sendable = AttemptResult::Unreachable;
+                Err(failed) => {
+                    self.log_failed_exchange(server, &request, &failed);
+                    match failed.recovery {
+                        Recovery::AnyConnection => {}
+                        Recovery::OtherAddress => {
+                            excluded_routes.extend(failed.route);
+                            result_if_not_sendable = AttemptResult::Unreachable;
+                        }
+                        Recovery::Reset => return AttemptResult::Reset.into(),
+                        Recovery::Malformed => return AttemptResult::Malformed.into(),
                     }
-                    Recovery::Reset => return AttemptResult::Reset.into(),
-                    Recovery::Malformed => return AttemptResult::Malformed.into(),
-                },
+                }
             }
         }
         AttemptResult::Unreachable.into()
     }
+
+    fn log_failed_exchange(
+        &self,
+        server: ServerId,
+        request: &UpstreamRequest,
+        failed: &FailedExchange,
+    ) {
+        let bytes = if failed.error.has_unsolicited_bytes {
+            ", unsolicited bytes received"
+        } else {
+            ""
+        };
+        log::request_line(format_args!(
+            "request {}: {} with {} on a connection in state {:?}{bytes}",
+            request.client_id(),
+            failed.error,
+            self.label(server),
+            failed.age,
+        ));
+    }
 }
--- a/src/node/upstream/servers/checked_out.rs
+++ b/src/node/upstream/servers/checked_out.rs
@@ -11,7 +11,7 @@
 
 use super::idle::PooledConnection;
 use super::Servers;
-use crate::node::upstream::{AttemptOutcome, Exchange, ServerConnection};
+use crate::node::upstream::{AttemptOutcome, Exchange, ExchangeError, ServerConnection};
 
 /// The result of a checkout, as it is sent to the attempt that waits for it.
 pub(super) type CheckoutResult = Result<CheckedOutConnection, CheckoutError>;
@@ -104,8 +104,11 @@
     }
 }
 
-/// The consequence of an exchange that failed before a response head arrived.
+/// An exchange that failed before a response head arrived, and its consequence.
 pub(super) struct FailedExchange {
+    pub(super) error: ExchangeError,
+    /// Whether the connection had been idle.
+    pub(super) age: ConnectionAge,
     pub(super) recovery: Recovery,
     /// The route of the failed connection, if the pool still has the connection.
     pub(super) route: Option<RouteId>,
@@ -122,17 +125,19 @@
 
 impl CheckedOutConnection {
     /// Performs the connection's only exchange, and reports the close of the connection to the pool.
+    ///
+    /// # Errors
+    ///
+    /// The exchange failed before a response head arrived.
     pub(super) async fn exchange(
         mut self,
         exchange: Exchange<'_>,
     ) -> Result<AttemptOutcome, FailedExchange> {
         let route = self.servers.pool.borrow().route_of(self.id);
-        let Some(socket) = self.socket.take() else {
-            return Err(FailedExchange {
-                recovery: Recovery::AnyConnection,
-                route,
-            });
-        };
+        let socket = self
+            .socket
+            .take()
+            .expect("only the exchange takes the socket, and it consumes the checkout");
         let mut usage = ConnectionUse {
             servers: Rc::clone(&self.servers),
             id: self.id,
@@ -142,6 +147,9 @@
         let result = socket.connection.exchange(exchange).await;
         result.map_err(|error| {
             let recovery = recovery(socket.age, error.bytes_sent, error.error);
+            if error.has_unsolicited_bytes {
+                self.servers.metrics.unsolicited_bytes.increment();
+            }
             usage.close = match recovery {
                 _ if error.has_unsolicited_bytes => {
                     ConnectionClose::InUse(CloseReason::UnsolicitedBytes)
@@ -152,7 +160,12 @@
                     ConnectionClose::InUse(CloseReason::Finished)
                 }
             };
-            FailedExchange { recovery, route }
+            FailedExchange {
+                error,
+                age: socket.age,
+                recovery,
+                route,
+            }
         })
     }
 }
--- a/src/node/upstream/servers/tests.rs
+++ b/src/node/upstream/servers/tests.rs
@@ -31,6 +31,7 @@
         ConfiguredAddresses::new(),
         PoolLimits::default(),
         Clock::new(),
+        Rc::default(),
     );
     tokio::task::spawn_local(Rc::clone(&servers).run_timer());
     servers
--- a/tests/admin_interface.rs
+++ b/tests/admin_interface.rs
@@ -38,6 +38,32 @@
      edge_router.servers_excluded:0|g\n\
      EOF\n";
 
+/// The metrics of attempts and connections, which follow all others in the response to STATS, with their values masked.
+const UPSTREAM_STATS: &str = "edge_router.attempts_ended.served:#|c\n\
+     edge_router.attempts_ended.client_error:#|c\n\
+     edge_router.attempts_ended.error:#|c\n\
+     edge_router.attempts_ended.declined:#|c\n\
+     edge_router.attempts_ended.timed_out:#|c\n\
+     edge_router.attempts_ended.unreachable:#|c\n\
+     edge_router.attempts_ended.reset:#|c\n\
+     edge_router.attempts_ended.malformed:#|c\n\
+     edge_router.attempts_ended.cancelled:#|c\n\
+     edge_router.attempts_ended.not_sent:#|c\n\
+     edge_router.retries:#|c\n\
+     edge_router.server_connections:#|c\n\
+     edge_router.unsolicited_bytes:#|c\n\
+     EOF\n";
+
+/// Splits a response to STATS at the metrics of attempts, which were added after the others were recorded; returns the
+/// response without them, and them.
+fn split_upstream_stats(stats: &str) -> (String, String) {
+    let start = stats
+        .find("edge_router.attempts_ended")
+        .expect("the response has metrics of attempts");
+    let (recorded, upstream) = stats.split_at(start);
+    (format!("{recorded}EOF\n"), upstream.to_owned())
+}
+
 /// The metrics that a node of a cluster adds to the response to STATS, with their values masked.
 const CLUSTER_STATS: &str = "edge_router.fleet_members.alive:#|g\n\
      edge_router.fleet_members.suspect:#|g\n\
@@ -167,10 +193,12 @@
             &format!("{}\n", "x".repeat(128)),
             "400 a call has 128 bytes at the most\n",
         ),
-        ("STATS\n", STATS_WITHOUT_CLUSTER),
     ] {
         assert_eq!(node.admin_command(command), response, "{command}");
     }
+    let (recorded, upstream) = split_upstream_stats(&node.admin_command("STATS\n"));
+    assert_eq!(recorded, STATS_WITHOUT_CLUSTER);
+    assert_eq!(upstream, UPSTREAM_STATS.replace('#', "0"));
 }
 
 #[test]
@@ -197,7 +225,9 @@
         node.admin_command("GIVE 200 n1\n"),
         "400 shard 200 is not owned here\n"
     );
-    let stats = mask_numbers(&node.admin_command("STATS\n"));
+    let (recorded, upstream) = split_upstream_stats(&node.admin_command("STATS\n"));
+    assert_eq!(mask_numbers(&upstream), UPSTREAM_STATS);
+    let stats = mask_numbers(&recorded);
     let cluster_stats = stats.split_once("servers_excluded:#|g\n");
     assert_eq!(cluster_stats.map(|(_, rest)| rest), Some(CLUSTER_STATS));
     testkit::wait_until("an owner transfers its shard", || {
