Show that a Consul agent's second response is taken for the next query's

The same class of fault as at the servers: a query reuses the connection of the one before, so a second response that arrives while the next query blocks ends that query, with a wrong index and a wrong list.

--- a/crates/testkit/src/consul/mod.rs
+++ b/crates/testkit/src/consul/mod.rs
@@ -34,6 +34,9 @@
 /// Interval at which an agent that lags checks whether a later version has become visible.
 const LAG_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time between a response and the second one of [`Fault::SecondResponse`].
+pub const SECOND_RESPONSE_DELAY: Duration = Duration::from_millis(50);
+
 /// A fault in the responses to queries for service instances.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum Fault {
@@ -54,6 +57,8 @@
     Immediate,
     /// Returns this index in place of the catalog's.
     Index(u64),
+    /// Writes, [`SECOND_RESPONSE_DELAY`] after each response, a second one without instances and with this index.
+    SecondResponse(u64),
     /// Reports that the cluster has no known leader.
     NoLeader,
     /// Reports that its last contact with the leader was this many milliseconds ago.
@@ -420,6 +425,9 @@
                 if is_complete {
                     self.record_response(started_at, &fault, &catalog, &selected);
                 }
+                if let Fault::SecondResponse(index) = fault {
+                    write_second_response(stream, index);
+                }
                 is_complete
             }
         }
@@ -465,9 +473,11 @@
             let responds = match state.fault {
                 _ if state.is_unreachable => return None,
                 Fault::Never => false,
-                Fault::None | Fault::NoLeader | Fault::LastContact(_) | Fault::Cached(_) => {
-                    visible.index > index || now >= end
-                }
+                Fault::None
+                | Fault::NoLeader
+                | Fault::LastContact(_)
+                | Fault::Cached(_)
+                | Fault::SecondResponse(_) => visible.index > index || now >= end,
                 _ => true,
             };
             if responds {
@@ -490,3 +500,13 @@
         }
     }
 }
+
+/// Writes a response without instances after a delay, whatever the connection carries by then.
+fn write_second_response(stream: &TcpStream, index: u64) {
+    let mut stream = stream.try_clone().expect("duplicate a socket");
+    thread::spawn(move || {
+        thread::sleep(SECOND_RESPONSE_DELAY);
+        let headers = headers(&Fault::Index(index), index);
+        write_response(&mut stream, "200 OK", &headers, b"[]");
+    });
+}
--- a/tests/consul.rs
+++ b/tests/consul.rs
@@ -643,3 +643,28 @@
     }
     spans
 }
+
+/// Guards against a second response of an agent that is taken for the response to the next query, which blocks.
+#[test]
+fn second_response_of_an_agent_is_not_taken_for_the_response_to_the_next_query() {
+    const STRAY_INDEX: u64 = 987_654_321;
+    let env = TestEnvironment::new(3, "");
+    env.wait_until_used(&[0, 1, 2]);
+    env.consul.set_fault(Fault::SecondResponse(STRAY_INDEX));
+    for round in 0..3 {
+        let queries = env.consul.query_count();
+        env.consul
+            .set_status("s-0", if round % 2 == 0 { "warning" } else { "passing" });
+        wait_until("the node has sent two more queries", || {
+            env.consul.query_count() >= queries + 2
+        });
+        std::thread::sleep(2 * testkit::consul::SECOND_RESPONSE_DELAY);
+    }
+    let stray = format!("index={STRAY_INDEX}");
+    let queries = env.consul.queries();
+    assert!(
+        !queries.iter().any(|query| query.contains(&stray)),
+        "the node used the index of a response that no query asked for: {queries:?}"
+    );
+    env.wait_until_used(&[0, 1, 2]);
+}
