Send each Consul query on a connection of its own

Operators would have seen a wrong instance list: a second response of an agent ended the next blocking query, with the wrong index and list.

Fix: a query opens a connection, and the end of its response closes it. The bytes of the requests are unchanged. The platform's discovery already had one watch per connection. A blocking query lasts up to its wait time, so that this is one more connection a minute at the default wait of 60 s while nothing changes.

--- a/crates/consul/src/watch/event.rs
+++ b/crates/consul/src/watch/event.rs
@@ -135,8 +135,7 @@
 /// An action that the caller must perform.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send a GET request to an agent, over a new or a kept-alive connection. The caller adds the
-    /// token.
+    /// Send a GET request to an agent, over a new connection. The caller adds the token.
     SendQuery {
         /// The agent's position in the configured order.
         agent: usize,
--- a/src/node/discovery/connection.rs
+++ b/src/node/discovery/connection.rs
@@ -51,12 +51,6 @@
         })
     }
 
-    /// Whether the connection can take a request now.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.sender.is_ready()
-    }
-
     /// Sends a request and waits for the response's head. Not cancel safe: if the future is dropped
     /// before it completes, the connection must be dropped, too.
     ///
--- a/src/node/discovery/consul/exchange.rs
+++ b/src/node/discovery/consul/exchange.rs
@@ -1,5 +1,5 @@
-//! Sends queries to Consul's agents, one at a time, over a connection that is reused as long as the
-//! agent remains the same.
+//! Sends queries to Consul's agents, one at a time, each on a connection of its own: a second response
+//! of an agent cannot be taken for the response to another query.
 
 use std::fmt;
 use std::future::{pending, Future};
@@ -83,12 +83,6 @@
 /// A response's head and the connection on which it was received.
 struct ReceivedHead {
     response: Response<Incoming>,
-    connection: AgentConnection,
-}
-
-/// A connection and the index of its agent.
-struct AgentConnection {
-    agent: usize,
     connection: Connection,
 }
 
@@ -100,12 +94,12 @@
     ReceivingBody(Incoming),
 }
 
-/// The query in progress, if any, and the connection.
+/// The query in progress, if any, and its connection.
 pub struct Exchange {
     agents: Vec<SocketAddr>,
     token_file: Option<PathBuf>,
     state: State,
-    connection: Option<AgentConnection>,
+    connection: Option<Connection>,
 }
 
 impl Exchange {
@@ -120,20 +114,13 @@
 
     /// Starts a query. The previous query must have ended or been closed.
     pub fn send(&mut self, agent: usize, path: &str) {
-        let reused = self
-            .connection
-            .take()
-            .filter(|reused| reused.agent == agent && reused.connection.is_ready());
+        self.close();
         let address = self.agents[agent];
         let request = self.request(address, path);
         self.state = State::AwaitingHead(Box::pin(async move {
             let request = request?;
-            let mut connection = match reused {
-                Some(reused) => reused.connection,
-                None => connect(address).await?,
-            };
+            let mut connection = connect(address).await?;
             let response = connection.send(request).await.map_err(QueryError::Http)?;
-            let connection = AgentConnection { agent, connection };
             Ok(ReceivedHead {
                 response,
                 connection,
@@ -175,8 +162,8 @@
             },
         };
         match &progress {
-            Progress::Head(_) | Progress::End => self.state = State::Idle,
-            Progress::Failed(_) => self.close(),
+            Progress::Head(_) => self.state = State::Idle,
+            Progress::End | Progress::Failed(_) => self.close(),
             Progress::Body(_) => {}
         }
         progress
