--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -143,6 +143,14 @@
         Self::spawn(config, operators, program_command())
     }
 
+    /// Like [`Node::start`], with these environment variables.
+    #[must_use]
+    pub fn start_with_environment(config: &str, variables: &[(&str, &str)]) -> Self {
+        let mut command = program_command();
+        command.envs(variables.iter().copied());
+        Self::spawn(config, None, command)
+    }
+
     /// Like [`Node::start`], with a listening socket that the platform passes to the process.
     #[must_use]
     pub fn start_on(config: &str, listener: &TcpListener) -> Self {
