Read and write until the call itself would block, so that short reads lose no request

Callers got no response when a read of the node returned only some of the bytes that were there.

Cause: the runtime's streams take a read that fills less than its buffer as proof that the socket is empty, clear the readiness and wait for the event loop's next edge; for bytes that are left in the socket none comes. (Read in the runtime's PollEvented::poll_read, `0 < n && n < len`, after the test had shown the requests standing still.)

Fix: LevelTriggered wraps the streams to clients, servers, discovery, Consul and operators. It reads and writes by the calls that end the readiness only if they would block, and repeats interrupted ones. The cost is one read more for each message, which returns that the socket is empty.

--- a/src/node/admin/server.rs
+++ b/src/node/admin/server.rs
@@ -18,6 +18,7 @@
 use crate::node::cluster::Cluster;
 use crate::node::dispatcher::Dispatcher;
 use crate::node::downstream::server::{Phase, ServerOptions, ACCEPT_RETRY_INTERVAL};
+use crate::node::level_triggered::LevelTriggered;
 
 /// Maximum duration of a connection, many times the duration of a command. It limits the time for which a client that
 /// does not close its connection occupies a descriptor.
@@ -208,10 +209,14 @@
 
 async fn serve_connection(stream: TcpStream, server: AdminServer) {
     // An I/O error or a timeout affects only this client, so the result is ignored.
-    let _ = tokio::time::timeout(CONNECTION_TIMEOUT, exchange(stream, &server)).await;
+    let _ = tokio::time::timeout(
+        CONNECTION_TIMEOUT,
+        exchange(LevelTriggered::new(stream), &server),
+    )
+    .await;
 }
 
-async fn exchange(mut stream: TcpStream, server: &AdminServer) -> io::Result<()> {
+async fn exchange(mut stream: LevelTriggered<TcpStream>, server: &AdminServer) -> io::Result<()> {
     let line = read_line(&mut stream).await?;
     if !line.is_empty() {
         stream.write_all(server.respond(&line).as_bytes()).await?;
@@ -222,7 +227,7 @@
 
 /// Reads up to and including the first line end. Stops at the end of the stream, or after one byte more than the
 /// maximum length of a line.
-async fn read_line(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+async fn read_line(stream: &mut LevelTriggered<TcpStream>) -> io::Result<Vec<u8>> {
     let mut line = Vec::with_capacity(MAX_LINE_BYTES + 1);
     while !line.contains(&b'\n') && line.len() <= MAX_LINE_BYTES {
         let left = MAX_LINE_BYTES + 1 - line.len();
@@ -238,7 +243,7 @@
 
 /// Reads and discards data until the end of the stream. Closing a socket with unread data would reset the connection,
 /// and the client could lose the response.
-async fn discard_rest(stream: &mut TcpStream) -> io::Result<()> {
+async fn discard_rest(stream: &mut LevelTriggered<TcpStream>) -> io::Result<()> {
     let mut discarded = [0; MAX_LINE_BYTES];
     while stream.read(&mut discarded).await? > 0 {}
     Ok(())
--- a/src/node/discovery/connection.rs
+++ b/src/node/discovery/connection.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::node::level_triggered::LevelTriggered;
+
 /// Maximum size of a response's head, and of a piece of its body that is read at once, in bytes. A
 /// piece of this size is processed in a fraction of a millisecond, and other tasks run between two
 /// pieces.
@@ -39,7 +41,7 @@
         prepare(&stream)?;
         let handshake = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(LevelTriggered::new(stream)))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
--- a/src/node/downstream/socket.rs
+++ b/src/node/downstream/socket.rs
@@ -17,6 +17,7 @@
 
 use crate::node::downstream::connection_table::{ConnectionGuard, Stage, TrackedConnection};
 use crate::node::downstream::framing::Framing;
+use crate::node::level_triggered::LevelTriggered;
 
 /// Limit on the bytes that are read ahead of hyper, which does not notice that a client has disconnected while it holds
 /// bytes of the next request. Clients normally send one request at a time. For a client that sends more than this limit,
@@ -29,7 +30,7 @@
 /// A client's socket. hyper and the connection's task each hold a clone, so that the socket outlives hyper's use of it.
 #[derive(Clone)]
 pub struct Socket {
-    stream: Rc<RefCell<TcpStream>>,
+    stream: Rc<RefCell<LevelTriggered<TcpStream>>>,
     /// Bytes that have been received and that hyper has not read yet.
     read_ahead: Rc<RefCell<BytesMut>>,
     /// Framing of the messages that have been received.
@@ -45,7 +46,7 @@
     #[must_use]
     pub fn new(stream: TcpStream, guard: ConnectionGuard) -> Self {
         Self {
-            stream: Rc::new(RefCell::new(stream)),
+            stream: Rc::new(RefCell::new(LevelTriggered::new(stream))),
             read_ahead: Rc::default(),
             framing: Rc::default(),
             connection: Rc::clone(&guard.connection),
@@ -67,7 +68,7 @@
     #[must_use]
     pub fn has_unread_bytes(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
+        let peeked = SockRef::from(self.stream.borrow().get_ref()).peek(&mut byte);
         matches!(peeked, Ok(bytes) if bytes > 0)
     }
 
@@ -103,7 +104,7 @@
         }
         loop {
             // The event loop reports that the client closed its sending half even while received bytes are unread.
-            let ready = pin!(stream.ready(Interest::READABLE)).poll(cx);
+            let ready = pin!(stream.get_ref().ready(Interest::READABLE)).poll(cx);
             if matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed()) {
                 return Poll::Ready(());
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 pub mod discovery;
 pub mod dispatcher;
 pub mod downstream;
+mod level_triggered;
 mod shutdown;
 pub mod upstream;
 
--- a/src/node/upstream/stream.rs
+++ b/src/node/upstream/stream.rs
@@ -10,13 +10,15 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpStream, UnixStream};
 
+use crate::node::level_triggered::LevelTriggered;
+
 /// A connected stream.
 #[derive(Debug)]
 pub enum Stream {
     /// Over TCP.
-    Tcp(TcpStream),
+    Tcp(LevelTriggered<TcpStream>),
     /// Over a Unix domain socket.
-    Unix(UnixStream),
+    Unix(LevelTriggered<UnixStream>),
 }
 
 /// Input that the kernel has received on a stream and that has not been read yet.
@@ -42,9 +44,12 @@
             Address::Ip(address) => {
                 let stream = TcpStream::connect(address).await?;
                 stream.set_nodelay(true)?;
-                Ok(Self::Tcp(stream))
+                Ok(Self::Tcp(LevelTriggered::new(stream)))
+            }
+            Address::Unix(path) => {
+                let stream = UnixStream::connect(path).await?;
+                Ok(Self::Unix(LevelTriggered::new(stream)))
             }
-            Address::Unix(path) => UnixStream::connect(path).await.map(Self::Unix),
         }
     }
 
@@ -53,8 +58,8 @@
     pub fn pending_input(&self) -> PendingInput {
         let mut byte = [MaybeUninit::uninit()];
         let peeked = match self {
-            Self::Tcp(stream) => SockRef::from(stream).peek(&mut byte),
-            Self::Unix(stream) => SockRef::from(stream).peek(&mut byte),
+            Self::Tcp(stream) => SockRef::from(stream.get_ref()).peek(&mut byte),
+            Self::Unix(stream) => SockRef::from(stream.get_ref()).peek(&mut byte),
         };
         match peeked {
             Ok(bytes) if bytes > 0 => PendingInput::Bytes,
