Repeat interrupted peeks, so that an interrupted call is neither a close nor an empty socket

Callers were refused requests when peeks of the node were interrupted; an interrupted check for unread bytes would have closed a connection over a request.

Cause: before a request is written, and before a client's connection is closed, the node peeks at the socket. An interrupted peek counted as the end of the server's connection, and as "no unread bytes" of a client.

Fix: both peeks are repeated while they are interrupted.

--- a/crates/fault-shim/tests/system_calls.rs
+++ b/crates/fault-shim/tests/system_calls.rs
@@ -199,11 +199,21 @@
     check_all_served("short_receive", 0.3);
 }
 
+#[test]
+fn request_is_answered_if_reads_are_interrupted() {
+    check_all_served("interrupted_receive", 0.3);
+}
+
 #[test]
 fn request_is_answered_if_writes_take_less_than_asked() {
     check_all_served("short_send", 0.3);
 }
 
+#[test]
+fn request_is_answered_if_writes_are_interrupted() {
+    check_all_served("interrupted_send", 0.3);
+}
+
 #[test]
 fn request_is_answered_if_waits_are_interrupted() {
     check_all_served("wait", 0.3);
--- a/src/node/downstream/socket.rs
+++ b/src/node/downstream/socket.rs
@@ -18,6 +18,7 @@
 use crate::node::downstream::connection_table::{ConnectionGuard, Stage, TrackedConnection};
 use crate::node::downstream::framing::Framing;
 use crate::node::level_triggered::LevelTriggered;
+use crate::node::system_error::uninterrupted;
 
 /// Limit on the bytes that are read ahead of hyper, which does not notice that a client has disconnected while it holds
 /// bytes of the next request. Clients normally send one request at a time. For a client that sends more than this limit,
@@ -68,7 +69,8 @@
     #[must_use]
     pub fn has_unread_bytes(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
-        let peeked = SockRef::from(self.stream.borrow().get_ref()).peek(&mut byte);
+        let stream = self.stream.borrow();
+        let peeked = uninterrupted(|| SockRef::from(stream.get_ref()).peek(&mut byte));
         matches!(peeked, Ok(bytes) if bytes > 0)
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 pub mod downstream;
 mod level_triggered;
 mod shutdown;
+mod system_error;
 pub mod upstream;
 
 use std::error::Error;
--- a/src/node/upstream/stream.rs
+++ b/src/node/upstream/stream.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpStream, UnixStream};
 
 use crate::node::level_triggered::LevelTriggered;
+use crate::node::system_error::uninterrupted;
 
 /// A connected stream.
 #[derive(Debug)]
@@ -57,10 +58,10 @@
     #[must_use]
     pub fn pending_input(&self) -> PendingInput {
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = match self {
+        let peeked = uninterrupted(|| match self {
             Self::Tcp(stream) => SockRef::from(stream.get_ref()).peek(&mut byte),
             Self::Unix(stream) => SockRef::from(stream.get_ref()).peek(&mut byte),
-        };
+        });
         match peeked {
             Ok(bytes) if bytes > 0 => PendingInput::Bytes,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => PendingInput::None,
