Dial again when a connect fails for a moment, since nothing has been sent

Callers were refused requests when connects of the node failed for lack of a resource or a route, and the servers were ejected for it.

Cause: any failed connect ended the dial, and with a single address the attempt, as "unreachable".

Fix: a dial that failed for lack of a descriptor, buffer, port or route, or was interrupted, is repeated after 1, 4 and 16 ms, within the dial timeout. Refusals and missing paths are final as before.

--- a/src/node/system_error.rs
+++ b/src/node/system_error.rs
@@ -2,6 +2,32 @@
 
 use std::io;
 
+use rustix::io::Errno;
+
+/// Errors for lack of a resource, or of a route, that may be there a moment later.
+const MOMENTARY: [Errno; 11] = [
+    Errno::MFILE,
+    Errno::NFILE,
+    Errno::NOBUFS,
+    Errno::NOMEM,
+    Errno::AGAIN,
+    Errno::INTR,
+    Errno::ADDRNOTAVAIL,
+    Errno::NETDOWN,
+    Errno::NETUNREACH,
+    Errno::HOSTUNREACH,
+    Errno::TIMEDOUT,
+];
+
+fn is_one_of(error: &io::Error, errors: &[Errno]) -> bool {
+    Errno::from_io_error(error).is_some_and(|errno| errors.contains(&errno))
+}
+
+/// Whether a socket that could not be created, bound or connected may be had a moment later.
+pub fn is_momentary(error: &io::Error) -> bool {
+    is_one_of(error, &MOMENTARY)
+}
+
 /// Repeats a call that does not wait while it is interrupted.
 ///
 /// # Errors
--- a/src/node/upstream/stream.rs
+++ b/src/node/upstream/stream.rs
@@ -4,6 +4,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use pool::Address;
 use socket2::SockRef;
@@ -11,7 +12,14 @@
 use tokio::net::{TcpStream, UnixStream};
 
 use crate::node::level_triggered::LevelTriggered;
-use crate::node::system_error::uninterrupted;
+use crate::node::system_error::{is_momentary, uninterrupted};
+
+/// Pauses before a dial that failed for lack of a resource or a route is repeated.
+const CONNECT_RETRY_PAUSES: [Duration; 3] = [
+    Duration::from_millis(1),
+    Duration::from_millis(4),
+    Duration::from_millis(16),
+];
 
 /// A connected stream.
 #[derive(Debug)]
@@ -34,13 +42,24 @@
 }
 
 impl Stream {
-    /// Connects to an address. Dropping the future aborts the dial.
+    /// Connects to an address. A failure that may pass within a moment is retried, since nothing has been sent. Dropping
+    /// the future aborts the dial.
     ///
     /// # Errors
     ///
     /// No process listens at the address, the path is not a socket or cannot be opened, or no file descriptors are
     /// left.
     pub async fn connect(address: &Address) -> io::Result<Self> {
+        for pause in CONNECT_RETRY_PAUSES {
+            match Self::connect_once(address).await {
+                Err(error) if is_momentary(&error) => tokio::time::sleep(pause).await,
+                result => return result,
+            }
+        }
+        Self::connect_once(address).await
+    }
+
+    async fn connect_once(address: &Address) -> io::Result<Self> {
         match address {
             Address::Ip(address) => {
                 let stream = TcpStream::connect(address).await?;
