Go on accepting after an accept that fails for one connection, also at the end

Found by reading, while walking the calls whose failure decides whether a request ends; no test provokes the loss.

Cause: when the node stops accepting it empties the accept queue, and any error ended that, so that one aborted connection or a lack of descriptors reset all that were behind it. While serving, an aborted connection made the node pause for 10 ms.

Fix: only "would block" ends the emptying of the queue; after a lack of resources it tries again 1 ms later, within the bound on its length. An error that concerns the one connection is followed by the next accept at once.

--- a/crates/fault-shim/tests/system_calls.rs
+++ b/crates/fault-shim/tests/system_calls.rs
@@ -214,6 +214,11 @@
     check_all_served("interrupted_send", 0.3);
 }
 
+#[test]
+fn request_is_answered_if_accepts_fail() {
+    check_all_served("accept", 0.5);
+}
+
 #[test]
 fn request_is_answered_if_connects_fail() {
     check_all_served("connect", 0.3);
--- a/src/node/downstream/server.rs
+++ b/src/node/downstream/server.rs
@@ -23,12 +23,15 @@
 use crate::node::downstream::connection_table::ConnectionTable;
 pub use crate::node::downstream::shutdown::Phase;
 use crate::node::downstream::shutdown::{FINAL_WRITE_TIMEOUT, SHARED_ACCEPT_PERIOD};
+use crate::node::system_error::is_lost_connection;
 
 /// Maximum number of connections that are accepted from the kernel's backlog at shutdown: as many as it holds. The bound
 /// prevents clients that connect continuously from delaying the shutdown.
 const MAX_BACKLOG: usize = 1_024;
 /// Pause after a connection could not be accepted, for example because the process has no free descriptors.
 pub const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Pause after a connection could not be accepted from the backlog at shutdown.
+const BACKLOG_RETRY_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Options of the server that accepts client connections.
 #[derive(Clone)]
@@ -175,6 +178,7 @@
         };
         match accepted {
             Ok((stream, _)) => spawn_connection(stream, state).await,
+            Err(error) if is_lost_connection(&error) => tokio::task::yield_now().await,
             Err(error) => {
                 log::line(format_args!("cannot accept a connection: {error}"));
                 tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
@@ -186,10 +190,16 @@
 /// Accepts the connections that remain in the kernel's backlog: the event loop may not have reported the latest ones yet.
 async fn accept_backlog(listener: &TcpListener, state: &Rc<ServerState>) {
     for _ in 0..MAX_BACKLOG {
-        let Ok(stream) = accept_without_event_loop(listener) else {
-            return;
-        };
-        spawn_connection(stream, state).await;
+        match accept_without_event_loop(listener) {
+            Ok(stream) => spawn_connection(stream, state).await,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            Err(error) if is_lost_connection(&error) => {}
+            // Connections that end meanwhile free descriptors. What stays in the backlog is reset by the kernel.
+            Err(error) => {
+                log::line(format_args!("cannot accept a connection: {error}"));
+                tokio::time::sleep(BACKLOG_RETRY_INTERVAL).await;
+            }
+        }
     }
 }
 
