Retry at start what cannot be had for a moment: listening, admin and gossip sockets

A node whose first socket could not be created ended at once, where a later try would do.

Fix: a bind that fails for a reason that may pass (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN, EINTR and the like) is tried again every 50 ms for up to 8 s; the platform waits 30 s for a start. Other errors end the process with message and exit code as before.

--- a/crates/fault-shim/tests/system_calls.rs
+++ b/crates/fault-shim/tests/system_calls.rs
@@ -224,6 +224,11 @@
     check_all_served("connect", 0.3);
 }
 
+#[test]
+fn request_is_answered_if_sockets_cannot_be_created() {
+    check_all_served("socket", 0.3);
+}
+
 #[test]
 fn request_is_answered_if_waits_are_interrupted() {
     check_all_served("wait", 0.3);
--- a/src/node/cluster/mod.rs
+++ b/src/node/cluster/mod.rs
@@ -30,6 +30,7 @@
 use crate::node::clock::Timer;
 use crate::node::config::Config;
 use crate::node::dispatcher::Dispatcher;
+use crate::node::system_error::retry_at_start;
 
 pub use self::error::ClusterError;
 pub use self::leases::LeaseSettings;
@@ -60,7 +61,7 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<UdpSocket, ClusterError> {
-    UdpSocket::bind(address)
+    retry_at_start(|| UdpSocket::bind(address))
         .await
         .map_err(|source| ClusterError::Bind { address, source })
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -42,6 +42,7 @@
 use self::downstream::inherited;
 use self::downstream::server::{self, Phase, ServerOptions};
 use self::shutdown::{ShutdownSchedule, StopSignals};
+use self::system_error::retry_at_start;
 
 /// Error that prevents a node from starting.
 #[derive(Debug)]
@@ -208,7 +209,7 @@
         let is_shared = inherited.is_some();
         let listener = match inherited {
             Some(inherited) => TcpListener::from_std(inherited),
-            None => TcpListener::bind(address).await,
+            None => retry_at_start(|| TcpListener::bind(address)).await,
         };
         Ok(Self {
             listener: listener.map_err(system_error(LISTEN_FOR_CLIENT_CONNECTIONS))?,
@@ -278,7 +279,7 @@
 }
 
 async fn start_admin_server(address: SocketAddr, server: AdminServer) -> Result<(), NodeError> {
-    let listener = TcpListener::bind(address)
+    let listener = retry_at_start(|| TcpListener::bind(address))
         .await
         .map_err(system_error(LISTEN_FOR_ADMIN_CONNECTIONS))?;
     let address = local_address(&listener, LISTEN_FOR_ADMIN_CONNECTIONS)?;
--- a/src/node/system_error.rs
+++ b/src/node/system_error.rs
@@ -1,6 +1,8 @@
 //! Errors of system calls that may pass within a moment, as opposed to those that need a change.
 
+use std::future::Future;
 use std::io;
+use std::time::{Duration, Instant};
 
 use rustix::io::Errno;
 
@@ -28,6 +30,11 @@
     Errno::TIMEDOUT,
 ];
 
+/// Time for which a process that starts repeats a call that may succeed a moment later. The platform waits 30 s for it.
+const START_RETRY_TIME: Duration = Duration::from_secs(8);
+/// Pause between two such calls.
+const START_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
 fn is_one_of(error: &io::Error, errors: &[Errno]) -> bool {
     Errno::from_io_error(error).is_some_and(|errno| errors.contains(&errno))
 }
@@ -55,3 +62,23 @@
         }
     }
 }
+
+/// Repeats a call that a process makes at its start while it fails for a reason that may pass within a moment.
+///
+/// # Errors
+///
+/// The call failed for another reason, or for longer than a start may take.
+pub async fn retry_at_start<T, F>(mut call: impl FnMut() -> F) -> io::Result<T>
+where
+    F: Future<Output = io::Result<T>>,
+{
+    let started_at = Instant::now();
+    loop {
+        match call().await {
+            Err(error) if is_momentary(&error) && started_at.elapsed() < START_RETRY_TIME => {
+                tokio::time::sleep(START_RETRY_INTERVAL).await;
+            }
+            result => return result,
+        }
+    }
+}
