Convert servers' start times to the node's clock by each scale that the wall clock has had

After a step of the wall clock, nodes would have given a server that starts an hour's slow start (step forward), or none (step back): then they overload a cold server.

Cause: the node's clock is Unix time as of its own start, on purpose without later steps, but start times from discovery were compared with it as they came, on the stepped scale.

Fix: the node records the offset of the wall clock every second and at each new start time. Of the ages that the known scales give for a start, the lowest that is not negative counts; one that lies in the future on all of them is now. So no server seems older than it is by more than 0.2 s, and one may seem younger by at most the step and its age. The conversion is kept for as long as the start is listed, since the balancer compares starts.

A real process under a stepped clock was not run. Known gap: a node that starts after a step forward cannot know the scale of a server that started before the step.

--- a/src/node/clock.rs
+++ b/src/node/clock.rs
@@ -5,11 +5,19 @@
 
 use tokio::sync::Notify;
 
+use crate::node::start_times::ClockReading;
+
 /// The longest sleep before the clock is read again.
 const MAX_SLEEP: Duration = Duration::from_secs(3_600);
 
+fn unix_ms() -> f64 {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+    unix.unwrap_or_default().as_secs_f64() * 1e3
+}
+
 /// A monotonic clock in Unix time: the Unix time when the clock was created plus the time elapsed since then. Later steps
-/// of the system clock do not affect it. The start times of servers are on the same scale.
+/// of the system clock do not affect it. [`StartTimes`](crate::node::start_times::StartTimes) converts the start times of
+/// servers to its scale.
 ///
 /// It must not count from zero: the balancer treats a server without a latency measurement as last measured at time
 /// zero. With a clock near zero, all servers would appear to have just been measured, and idle ones would not be
@@ -24,20 +32,26 @@
     /// Creates a clock that starts at the current Unix time.
     #[must_use]
     pub fn new() -> Self {
-        let unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Self {
             start: Instant::now(),
-            start_ms: unix.as_secs_f64() * 1e3,
+            start_ms: unix_ms(),
         }
     }
 
-    /// The current Unix time in milliseconds.
+    /// The Unix time in milliseconds when the clock was created, plus the time elapsed since then.
     #[must_use]
     pub fn now_ms(self) -> f64 {
         self.start_ms + self.start.elapsed().as_secs_f64() * 1e3
     }
+
+    /// Reads this clock and the system's wall clock, which may have been stepped.
+    #[must_use]
+    pub fn read_both(self) -> ClockReading {
+        ClockReading {
+            monotonic_ms: self.now_ms(),
+            wall_ms: unix_ms(),
+        }
+    }
 }
 
 /// A resettable timer for a state machine that requests to be called at a certain time.
--- a/src/node/dispatcher/server_ids.rs
+++ b/src/node/dispatcher/server_ids.rs
@@ -213,7 +213,7 @@
             server,
             ring_position: stable_hash::hash_name(&endpoint.id),
             availability: availability(endpoint.lifecycle),
-            started_at_ms: Some(endpoint.started_at_ms).filter(|at_ms| *at_ms > 0.0),
+            started_at_ms: self.servers.started_at_ms(endpoint),
             cell: endpoint.cell.unwrap_or(0),
             zone: self.names.zones.get(&endpoint.zone).unwrap_or(0),
             machine_kind: self
--- a/src/node/dispatcher/timers.rs
+++ b/src/node/dispatcher/timers.rs
@@ -109,6 +109,7 @@
         loop {
             ticks.tick().await;
             self.servers.close_expired();
+            self.servers.observe_wall_clock();
             if self.timers.max_lateness.get() >= MIN_REPORTED_LATENESS {
                 self.report_lateness();
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 pub mod downstream;
 mod level_triggered;
 mod shutdown;
+mod start_times;
 mod system_error;
 pub mod upstream;
 
--- a/src/node/upstream/servers.rs
+++ b/src/node/upstream/servers.rs
@@ -25,6 +25,7 @@
 
 use crate::node::clock::{Clock, Timer};
 use crate::node::config::Config;
+use crate::node::start_times::StartTimes;
 use crate::node::upstream::addresses::{routes, ConfiguredAddresses};
 
 pub use attempt::RunningAttempt;
@@ -67,6 +68,7 @@
     drain_grace: Duration,
     clock: Clock,
     metrics: Rc<UpstreamMetrics>,
+    start_times: RefCell<StartTimes>,
 }
 
 /// Displays the name of a server.
@@ -126,6 +128,7 @@
             drain_grace: config.drain_grace,
             clock,
             metrics,
+            start_times: RefCell::default(),
         })
     }
 
@@ -193,8 +196,9 @@
         if !is_ready || has_restarted {
             self.close_idle(server);
         }
-        if self.slow_start_ms > 0.0 && endpoint.started_at_ms > 0.0 {
-            let warm_up_ends_at_ms = endpoint.started_at_ms + self.slow_start_ms;
+        let started_at_ms = self.started_at_ms(endpoint);
+        if let Some(started_at_ms) = started_at_ms.filter(|_| self.slow_start_ms > 0.0) {
+            let warm_up_ends_at_ms = started_at_ms + self.slow_start_ms;
             self.with_pool(|pool, _, _| pool.set_warming_up(key, warm_up_ends_at_ms));
         }
     }
@@ -226,7 +230,10 @@
     /// Removes a server. New attempts cannot reach it, and its connections in use are closed after their responses.
     pub fn remove(self: &Rc<Self>, server: ServerId) {
         let key = ServerKey(server.0);
-        self.table.borrow_mut().remove(&server);
+        let removed = self.table.borrow_mut().remove(&server);
+        if let Some(removed) = removed {
+            self.start_times.borrow_mut().remove(&removed.endpoint.id);
+        }
         self.with_pool(|pool, now_ms, actions| pool.remove_server(now_ms, key, actions));
         let changed = self.address_owners.borrow_mut().remove(key);
         self.update_routes(&changed);
@@ -241,6 +248,25 @@
         }
     }
 
+    /// The time at which a server started, on the node's clock; `None` for long ago.
+    pub fn started_at_ms(&self, endpoint: &Endpoint) -> Option<f64> {
+        (endpoint.started_at_ms > 0.0).then(|| {
+            self.start_times.borrow_mut().monotonic_start_ms(
+                &endpoint.id,
+                endpoint.started_at_ms,
+                self.clock.read_both(),
+            )
+        })
+    }
+
+    /// Records the wall clock, so that a step is known before a server that starts after it is listed. Called at short
+    /// intervals.
+    pub fn observe_wall_clock(&self) {
+        self.start_times
+            .borrow_mut()
+            .observe(self.clock.read_both());
+    }
+
     /// Whether a request to a server may start now: the server is known and, if it drains, its grace period has not
     /// ended.
     fn accepts_requests(&self, server: ServerId) -> bool {
