Leave at least 0.2 s of a deduplication window, for a node that is held up before it writes

Found while walking the places where a clock decides whether a request may be sent again: a retry could start within the last tenth of its window. With a window of 1 s that is 0.1 s, and a node may be held up for 0.15 s between reading its clock and writing, so that a server could take the retry for a new request.

Fix: the dispatcher's check, the last before the first byte, leaves a tenth of the window and 0.2 s at the least.

Evidence: retry_window_leaves_time_for_a_node_that_is_held_up failed before ("100 ms: a retry may start after 90ms") and passes.

--- a/src/node/dispatcher/in_flight.rs
+++ b/src/node/dispatcher/in_flight.rs
@@ -28,6 +28,9 @@
 const MAX_UPLOAD_TIME: Duration = Duration::from_secs(20 * 60);
 /// Fraction of a deduplication window during which a retry may start, as it must also arrive within the window.
 const RETRY_WINDOW_FRACTION: f64 = 0.9;
+/// Minimum time between the last start of a retry and the end of its deduplication window: the node may be held up for
+/// 150 ms between the check and the first byte, and the retry then has to arrive.
+const MIN_RETRY_MARGIN: Duration = Duration::from_millis(200);
 
 /// The final response to a request.
 #[derive(Debug)]
@@ -141,7 +144,9 @@
 fn retry_window(idempotency: Idempotency) -> Option<Duration> {
     match idempotency {
         Idempotency::IdempotencyKey { window_ms, .. } => {
-            Duration::try_from_secs_f64(window_ms * RETRY_WINDOW_FRACTION / 1e3).ok()
+            let window = Duration::try_from_secs_f64(window_ms / 1e3).ok()?;
+            let margin = window.mul_f64(1.0 - RETRY_WINDOW_FRACTION);
+            Some(window.saturating_sub(margin.max(MIN_RETRY_MARGIN)))
         }
         Idempotency::Idempotent | Idempotency::NonIdempotent => None,
     }
@@ -333,3 +338,6 @@
         self.dispatcher.handle_disconnect(self.request_number);
     }
 }
+
+#[cfg(test)]
+mod tests;
