Write the fence file by one writer, so that a late write does not lower the token

Found while walking the places where a disk decides: after a disk that failed for a while, a restarted acceptor could have granted a fencing token that is not above those it had granted.

Cause: each reservation retried its own write until it succeeded. Where the writes of one failed, and a higher token was requested and written meanwhile, the retry of the first replaced the file with the lower token after the higher one had been confirmed.

Fix: one write is in progress at a time, and each try writes the highest token requested by then.

Evidence: failed_reservation_does_not_replace_a_higher_one (a folder that appears after 1.25 s) fails with one writer for each reservation, as before, and passes; tests/lease_processes.rs passes.

--- a/src/node/cluster/fence_file.rs
+++ b/src/node/cluster/fence_file.rs
@@ -2,6 +2,7 @@
 //!
 //! The file is replaced atomically, so a crash leaves either the previous file or the new one.
 
+use std::cell::Cell;
 use std::fmt;
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Read, Write};
@@ -10,10 +11,9 @@
 use std::time::Duration;
 
 use lease::{
-    decode_fence_file, encode_fence_file, Event, FenceFileError, FencingToken, MAX_FENCE_FILE_BYTES,
+    decode_fence_file, encode_fence_file, FenceFileError, FencingToken, MAX_FENCE_FILE_BYTES,
 };
 
-use super::Cluster;
 use crate::node::admin::log;
 
 /// Delay between a failed write and the next attempt.
@@ -80,28 +80,69 @@
     File::open(directory.unwrap_or(Path::new(".")))?.sync_all()
 }
 
-/// Stores that this acceptor may grant tokens up to `token`, on a blocking thread, and confirms
-/// that to the lease manager.
-///
-/// A failed write is retried until it succeeds, and logged once; until then no token beyond the
-/// last reservation is granted. Dropping the future cancels the confirmation, but not a write in
-/// progress.
-pub async fn reserve_tokens(cluster: Rc<Cluster>, path: PathBuf, token: FencingToken) {
-    let text = encode_fence_file(&cluster.name, token);
-    let mut is_logged = false;
-    loop {
-        let (path, text) = (path.clone(), text.clone());
-        let written = tokio::task::spawn_blocking(move || replace(&path, &text)).await;
-        match written.unwrap_or_else(|error| Err(io::Error::other(error))) {
-            Ok(()) => return cluster.handle_lease_event(Event::TokensReserved(token)),
-            Err(error) if !is_logged => {
-                is_logged = true;
-                log::line(format_args!(
-                    "leases: the fence file cannot be written: {error}"
-                ));
+/// The fence file of a running acceptor. One write is in progress at a time, each of the highest token requested by then:
+/// a write that failed for a while cannot replace a later one with a lower token.
+pub struct FenceFile {
+    path: PathBuf,
+    node: String,
+    requested: Cell<FencingToken>,
+    is_writing: Cell<bool>,
+}
+
+impl FenceFile {
+    /// The file of this node.
+    pub fn new(path: PathBuf, node: &str) -> Rc<Self> {
+        Rc::new(Self {
+            path,
+            node: node.to_owned(),
+            requested: Cell::default(),
+            is_writing: Cell::default(),
+        })
+    }
+
+    /// Stores that this acceptor may grant tokens up to `token`, and calls `confirm` with the highest stored token. Must be
+    /// called in a `LocalSet`.
+    ///
+    /// A failed write is retried until it succeeds; the first failure is logged. Until then no token beyond the last
+    /// reservation is granted.
+    pub fn reserve(self: &Rc<Self>, token: FencingToken, confirm: impl Fn(FencingToken) + 'static) {
+        self.requested.set(self.requested.get().max(token));
+        if self.is_writing.replace(true) {
+            return;
+        }
+        let file = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            loop {
+                let stored = file.write_requested().await;
+                confirm(stored);
+                if file.requested.get() == stored {
+                    return file.is_writing.set(false);
+                }
             }
-            Err(_) => {}
+        });
+    }
+
+    /// Writes the highest requested token, on a blocking thread, until that succeeds; returns the token.
+    async fn write_requested(&self) -> FencingToken {
+        let mut is_logged = false;
+        loop {
+            let token = self.requested.get();
+            let (path, text) = (self.path.clone(), encode_fence_file(&self.node, token));
+            let written = tokio::task::spawn_blocking(move || replace(&path, &text)).await;
+            match written.unwrap_or_else(|error| Err(io::Error::other(error))) {
+                Ok(()) => return token,
+                Err(error) if !is_logged => {
+                    is_logged = true;
+                    log::line(format_args!(
+                        "leases: the fence file cannot be written: {error}"
+                    ));
+                }
+                Err(_) => {}
+            }
+            tokio::time::sleep(WRITE_RETRY_INTERVAL).await;
         }
-        tokio::time::sleep(WRITE_RETRY_INTERVAL).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/cluster/leases.rs
+++ b/src/node/cluster/leases.rs
@@ -8,7 +8,6 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
-use std::path::PathBuf;
 use std::rc::Rc;
 
 use gossip::{Event as GossipEvent, Health, MemberId, State};
@@ -17,7 +16,7 @@
     OwnershipChange, Permit, ReconfigurationOutcome, Settings, SettingsError, Shard,
 };
 
-use super::fence_file::{self, FenceFileReadError};
+use super::fence_file::{self, FenceFile, FenceFileReadError};
 use super::{boot_ms, Cluster};
 use crate::node::admin::log;
 use crate::node::clock::Timer;
@@ -61,7 +60,7 @@
     names: RefCell<BTreeMap<NodeId, String>>,
     /// Payload of the latest effect that an owner of each shard has published.
     effects: RefCell<BTreeMap<Shard, Vec<u8>>>,
-    fence_file: Option<PathBuf>,
+    fence_file: Option<Rc<FenceFile>>,
 }
 
 impl LeaseParticipant {
@@ -94,7 +93,10 @@
             timer: Timer::new(),
             names: RefCell::default(),
             effects: RefCell::default(),
-            fence_file: lease_settings.fence_file.clone(),
+            fence_file: lease_settings
+                .fence_file
+                .clone()
+                .map(|path| FenceFile::new(path, node)),
         };
         participant.add_acceptor_names(lease_settings);
         participant
@@ -196,9 +198,11 @@
             } => participant.log_ownership_change(shard, token, change),
             Action::Log(event) => participant.log_event(event),
             Action::ReserveTokens(token) => {
-                if let Some(path) = participant.fence_file.clone() {
-                    let reserved = fence_file::reserve_tokens(Rc::clone(self), path, token);
-                    tokio::task::spawn_local(reserved);
+                if let Some(fence_file) = &participant.fence_file {
+                    let cluster = Rc::clone(self);
+                    let confirm =
+                        move |token| cluster.handle_lease_event(Event::TokensReserved(token));
+                    fence_file.reserve(token, confirm);
                 }
             }
             Action::Effect { shard, payload, .. } => {
