Test nodes with servers that decline, fail, break off and send unsolicited responses in turn

The same checker now also runs over servers that decline a third of the requests, each with a later unsolicited response, and answer the others late, in part, twice, with 429, 500 or 503, or not at all.

--- a/tests/response_attribution.rs
+++ b/tests/response_attribution.rs
@@ -87,7 +87,11 @@
 }
 
 /// Starts a server that executes requests and sends an unsolicited response after every second one.
-fn start_server(index: usize, seed: u64, executions: &Executions) -> Server {
+fn start_server_with_unsolicited_responses(
+    index: usize,
+    seed: u64,
+    executions: &Executions,
+) -> Server {
     let executions = executions.clone();
     let random = Mutex::new(fastrand::Rng::with_seed(seed ^ (index as u64) << 32));
     Server::start(move |request| {
@@ -110,6 +114,43 @@
     })
 }
 
+/// Starts a server that declines a third of its requests, executes the others, and fails in a drawn way after half of those.
+fn start_failing_server(index: usize, seed: u64, executions: &Executions) -> Server {
+    let executions = executions.clone();
+    let random = Mutex::new(fastrand::Rng::with_seed(seed ^ (index as u64) << 32));
+    Server::start(move |request| {
+        let mut random = random
+            .lock()
+            .expect("no thread panics with the lock held")
+            .fork();
+        let declined = response("503 Service Unavailable", "Srv-Declined: 1\r\n", "");
+        if random.u8(..3) == 0 {
+            return Reply::SendWithUnsolicited {
+                response: declined,
+                delay: Duration::from_millis(random.u64(..30)),
+                unsolicited: unsolicited_response(request, &mut random),
+            };
+        }
+        let id = request.header("req-id").expect("each request has an id");
+        executions.execute(id, index, Duration::from_millis(random.u64(PROCESSING_MS)));
+        let own = own_response(request);
+        match random.u8(..14) {
+            0 => Reply::Close,
+            1 => Reply::Send(response("500 Internal Server Error", "", "")),
+            2 => Reply::Send(response("503 Service Unavailable", "", "")),
+            3 => Reply::Send(response("429 Too Many Requests", "", "")),
+            4 => Reply::SendAndClose(own[..random.usize(..own.len())].to_vec()),
+            5 => Reply::Send([own.clone(), unsolicited_response(request, &mut random)].concat()),
+            6 => {
+                let (first, second) = own.split_at(random.usize(..own.len()));
+                let delay = Duration::from_millis(random.u64(1..50));
+                Reply::SendInTwoParts(first.to_vec(), delay, second.to_vec())
+            }
+            _ => Reply::Send(own),
+        }
+    })
+}
+
 /// Starts a node whose servers are each in a cell of their own, where keyed requests may be repeated only within a cell.
 fn start_node(discovery: &Discovery, servers: &[Server]) -> Node {
     let entries: Vec<_> = servers
@@ -196,45 +237,67 @@
     broken
 }
 
+/// Sends requests of all classes through nodes with these servers, and asserts that no rule was broken.
+fn check_rules(
+    seed: u64,
+    start_server: fn(usize, u64, &Executions) -> Server,
+    min_unsolicited: usize,
+) {
+    let executions = Executions::default();
+    let servers: Vec<_> = (0..SERVERS)
+        .map(|index| start_server(index, seed, &executions))
+        .collect();
+    let discovery = Discovery::start();
+    let nodes: Vec<_> = (0..NODES)
+        .map(|_| start_node(&discovery, &servers))
+        .collect();
+    let broken = thread::scope(|scope| {
+        let clients: Vec<_> = (0..NODES * CLIENTS_PER_NODE)
+            .map(|index| {
+                let (node, executions) = (&nodes[index % NODES], &executions);
+                let name = format!("c{index}");
+                scope.spawn(move || run_client(node, &name, executions))
+            })
+            .collect();
+        clients
+            .into_iter()
+            .flat_map(|client| client.join().expect("the client thread does not panic"))
+            .collect::<Vec<_>>()
+    });
+    let unsolicited: usize = servers.iter().map(Server::unsolicited_writes).sum();
+    assert!(
+        unsolicited >= min_unsolicited,
+        "seed {seed}: only {unsolicited} unsolicited responses"
+    );
+    assert!(
+        broken.is_empty(),
+        "seed {seed}: {} broken rules with {unsolicited} unsolicited responses:\n{}",
+        broken.len(),
+        broken.join("\n")
+    );
+}
+
 /// Guards against an unsolicited response that is taken for the response to another request on the same connection.
 #[test]
 fn unsolicited_response_is_not_taken_for_the_response_to_another_request() {
     for seed in SEEDS {
-        let executions = Executions::default();
-        let servers: Vec<_> = (0..SERVERS)
-            .map(|index| start_server(index, seed, &executions))
-            .collect();
-        let discovery = Discovery::start();
-        let nodes: Vec<_> = (0..NODES)
-            .map(|_| start_node(&discovery, &servers))
-            .collect();
-        let broken = thread::scope(|scope| {
-            let clients: Vec<_> = (0..NODES * CLIENTS_PER_NODE)
-                .map(|index| {
-                    let (node, executions) = (&nodes[index % NODES], &executions);
-                    let name = format!("c{index}");
-                    scope.spawn(move || run_client(node, &name, executions))
-                })
-                .collect();
-            clients
-                .into_iter()
-                .flat_map(|client| client.join().expect("the client thread does not panic"))
-                .collect::<Vec<_>>()
-        });
-        let unsolicited: usize = servers.iter().map(Server::unsolicited_writes).sum();
-        assert!(
-            unsolicited >= MIN_UNSOLICITED_RESPONSES,
-            "seed {seed}: only {unsolicited} unsolicited responses"
-        );
-        assert!(
-            broken.is_empty(),
-            "seed {seed}: {} broken rules with {unsolicited} unsolicited responses:\n{}",
-            broken.len(),
-            broken.join("\n")
+        check_rules(
+            seed,
+            start_server_with_unsolicited_responses,
+            MIN_UNSOLICITED_RESPONSES,
         );
     }
 }
 
+/// Guards against repeats and refusals of requests that may have run, where servers decline, fail, break off and send
+/// unsolicited responses in turn.
+#[test]
+fn failing_servers_cause_no_repeat_or_refusal_of_what_may_have_run() {
+    for seed in SEEDS {
+        check_rules(seed, start_failing_server, MIN_UNSOLICITED_RESPONSES);
+    }
+}
+
 /// Length of an upload that a node forwards while it is received, in bytes.
 const UPLOAD_BYTES: usize = 600_000;
 
