--- a/crates/measure/src/bin/allocations.rs
+++ b/crates/measure/src/bin/allocations.rs
@@ -20,7 +20,9 @@
     let [short, long] = RUN_REQUESTS.map(run);
     let per_request =
         |long: u64, short: u64| (long - short) as f64 / (RUN_REQUESTS[1] - RUN_REQUESTS[0]) as f64;
-    println!("per request, on the node's thread, from the difference of {RUN_REQUESTS:?} requests:");
+    println!(
+        "per request, on the node's thread, from the difference of {RUN_REQUESTS:?} requests:"
+    );
     println!(
         "allocations {:>8.1}",
         per_request(long.count_total, short.count_total)
