Share the connected stream and the seeded generators of the new tests

Clean-up after the incident: two tests of the metered stream and two fake servers of the reproduction set up the same things. The line about an early response counts towards the limit of lines about requests, so that a faulty server does not suppress lines about the node. No change in what is tested.

--- a/src/node/start_times.rs
+++ b/src/node/start_times.rs
@@ -7,8 +7,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-/// Maximum number of scales of the wall clock that are remembered. Older ones are forgotten: a server that started so many
-/// steps ago is warm.
+/// Maximum number of scales of the wall clock that are remembered. A server that started before as many steps is warm.
 const MAX_SCALES: usize = 16;
 /// Difference in milliseconds from which two offsets of the wall clock are different scales: above what slewing the clock
 /// and a pause between two reads make of it in a second.
--- a/src/node/upstream/http1/connection.rs
+++ b/src/node/upstream/http1/connection.rs
@@ -147,7 +147,7 @@
             return Ok(response);
         }
         self.progress.record_unsolicited_bytes();
-        log::line("a server responded before it had the last byte of the request");
+        log::request_line("a server responded before it had the last byte of the request");
         Err(ConnectionError::InvalidResponse)
     }
 
--- a/src/node/upstream/http1/metered/tests.rs
+++ b/src/node/upstream/http1/metered/tests.rs
@@ -5,18 +5,24 @@
 use admin::Counter;
 use pool::{Address, BytesSent};
 
-/// Bytes that arrive before the first byte of a request, and that the event loop has not reported yet, would be taken
-/// for its response. The request must not be written, so that it cannot have run.
-#[tokio::test]
-async fn request_behind_unsolicited_bytes_is_not_written() {
+/// A stream whose request has not begun, and the server's end of its connection.
+async fn connected_stream() -> (MeteredStream, std::net::TcpStream) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
     let address = Address::Ip(listener.local_addr().expect("get the listener's address"));
     let stream = Stream::connect(&address)
         .await
         .expect("connect to the listener");
-    let (mut server, _) = listener.accept().expect("accept the connection");
-    let mut metered = MeteredStream::new(stream, Rc::default());
+    let (server, _) = listener.accept().expect("accept the connection");
+    let metered = MeteredStream::new(stream, Rc::default());
     metered.progress.begin(&Counter::default());
+    (metered, server)
+}
+
+/// Bytes that arrive before the first byte of a request, and that the event loop has not reported yet, would be taken
+/// for its response. The request must not be written, so that it cannot have run.
+#[tokio::test]
+async fn request_behind_unsolicited_bytes_is_not_written() {
+    let (mut metered, mut server) = connected_stream().await;
     server
         .write_all(b"HTTP/1.1 200 OK\r\n")
         .expect("write to the connection");
@@ -40,14 +46,7 @@
 /// and the response would be taken for its own.
 #[tokio::test]
 async fn request_is_not_continued_once_bytes_have_arrived() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
-    let address = Address::Ip(listener.local_addr().expect("get the listener's address"));
-    let stream = Stream::connect(&address)
-        .await
-        .expect("connect to the listener");
-    let (mut server, _) = listener.accept().expect("accept the connection");
-    let mut metered = MeteredStream::new(stream, Rc::default());
-    metered.progress.begin(&Counter::default());
+    let (mut metered, mut server) = connected_stream().await;
     metered.progress.set_body_complete(false);
     let mut cx = Context::from_waker(Waker::noop());
     let first = Pin::new(&mut metered).poll_write(&mut cx, b"POST / HTTP/1.1\r\n");
--- a/tests/response_attribution.rs
+++ b/tests/response_attribution.rs
@@ -86,6 +86,17 @@
     }
 }
 
+/// Returns a function whose calls return generators that are drawn from one seed.
+fn seeded_generators(seed: u64) -> impl Fn() -> fastrand::Rng {
+    let generator = Mutex::new(fastrand::Rng::with_seed(seed));
+    move || {
+        let mut generator = generator
+            .lock()
+            .expect("no thread panics with the lock held");
+        generator.fork()
+    }
+}
+
 /// Starts a server that executes requests and sends an unsolicited response after every second one.
 fn start_server_with_unsolicited_responses(
     index: usize,
@@ -93,12 +104,9 @@
     executions: &Executions,
 ) -> Server {
     let executions = executions.clone();
-    let random = Mutex::new(fastrand::Rng::with_seed(seed ^ (index as u64) << 32));
+    let next_random = seeded_generators(seed ^ (index as u64) << 32);
     Server::start(move |request| {
-        let mut random = random
-            .lock()
-            .expect("no thread panics with the lock held")
-            .fork();
+        let mut random = next_random();
         let id = request.header("req-id").expect("each request has an id");
         let time = Duration::from_millis(random.u64(PROCESSING_MS));
         executions.execute(id, index, time);
@@ -117,12 +125,9 @@
 /// Starts a server that declines a third of its requests, executes the others, and fails in a drawn way after half of those.
 fn start_failing_server(index: usize, seed: u64, executions: &Executions) -> Server {
     let executions = executions.clone();
-    let random = Mutex::new(fastrand::Rng::with_seed(seed ^ (index as u64) << 32));
+    let next_random = seeded_generators(seed ^ (index as u64) << 32);
     Server::start(move |request| {
-        let mut random = random
-            .lock()
-            .expect("no thread panics with the lock held")
-            .fork();
+        let mut random = next_random();
         let declined = response("503 Service Unavailable", "Srv-Declined: 1\r\n", "");
         if random.u8(..3) == 0 {
             return Reply::SendWithUnsolicited {
