Test nodes whose connections to servers break, and with all kinds of failing calls at once

The preloaded library can now break connections that the node made: reads fail with ETIMEDOUT, EHOSTUNREACH or ECONNRESET, writes with these or EPIPE. Requests may fail then, but each is answered, no unsafe one runs twice, and none is refused after it may have run. A second test injects eight kinds of faults at once, a tenth of the calls each (accepts three tenths); all requests are served.

--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -7,7 +7,7 @@
 mod plan;
 
 use std::ffi::{c_char, c_int, c_void};
-use std::sync::atomic::{AtomicPtr, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicPtr, Ordering};
 
 use libc::{epoll_event, iovec, size_t, sockaddr, socklen_t, ssize_t};
 
@@ -68,6 +68,39 @@
     result == 0 && matches!(domain, libc::AF_INET | libc::AF_INET6)
 }
 
+/// Number of descriptors whose connections can break; higher ones meet no such faults.
+const MAX_DESCRIPTORS: usize = 4096;
+
+/// Whether a descriptor was connected by this process, by descriptor.
+static IS_CONNECTED: [AtomicBool; MAX_DESCRIPTORS] =
+    [const { AtomicBool::new(false) }; MAX_DESCRIPTORS];
+
+fn set_connected(file: c_int, is_connected: bool) {
+    let entry = usize::try_from(file)
+        .ok()
+        .and_then(|file| IS_CONNECTED.get(file));
+    if let Some(entry) = entry {
+        entry.store(is_connected, Ordering::Relaxed);
+    }
+}
+
+fn is_connected(file: c_int) -> bool {
+    let entry = usize::try_from(file)
+        .ok()
+        .and_then(|file| IS_CONNECTED.get(file));
+    entry.is_some_and(|entry| entry.load(Ordering::Relaxed))
+}
+
+/// Errors of a connection that is broken, as a read reports them.
+const BROKEN_RECEIVE: [c_int; 3] = [libc::ETIMEDOUT, libc::EHOSTUNREACH, libc::ECONNRESET];
+/// Errors of a connection that is broken, as a write reports them.
+const BROKEN_SEND: [c_int; 4] = [
+    libc::ETIMEDOUT,
+    libc::EHOSTUNREACH,
+    libc::ECONNRESET,
+    libc::EPIPE,
+];
+
 fn fail(error: c_int) -> c_int {
     // SAFETY: the location is the calling thread's.
     unsafe { *libc::__errno_location() = error };
@@ -87,6 +120,9 @@
     if is_internet && plan.injects(Call::InterruptedReceive) {
         return fail(libc::EINTR) as ssize_t;
     }
+    if is_connected(socket) && plan.injects(Call::BrokenReceive) {
+        return fail(plan.error(&BROKEN_RECEIVE)) as ssize_t;
+    }
     let mut length = length;
     let can_be_short = is_internet && length > 1 && flags & libc::MSG_PEEK == 0;
     if can_be_short && plan.injects(Call::ShortReceive) {
@@ -111,6 +147,9 @@
     if is_internet && plan.injects(Call::InterruptedSend) {
         return fail(libc::EINTR) as ssize_t;
     }
+    if is_connected(socket) && plan.injects(Call::BrokenSend) {
+        return fail(plan.error(&BROKEN_SEND)) as ssize_t;
+    }
     let mut length = length;
     if is_internet && length > 1 && plan.injects(Call::ShortSend) {
         length = plan.shorter(length);
@@ -129,6 +168,9 @@
     if is_internet && plan.injects(Call::InterruptedSend) {
         return fail(libc::EINTR) as ssize_t;
     }
+    if is_connected(file) && plan.injects(Call::BrokenSend) {
+        return fail(plan.error(&BROKEN_SEND)) as ssize_t;
+    }
     let mut count = count;
     if is_internet && count > 1 && plan.injects(Call::ShortSend) {
         count = 1;
@@ -157,10 +199,12 @@
             libc::EINTR,
         ]));
     }
-    call_next!(
+    let accepted = call_next!(
         "accept4",
         fn(socket: c_int, address: *mut sockaddr, length: *mut socklen_t, flags: c_int) -> c_int
-    )
+    );
+    set_connected(accepted, false);
+    accepted
 }
 
 /// Connects a socket.
@@ -176,6 +220,7 @@
             libc::EAGAIN,
         ]));
     }
+    set_connected(socket, is_internet_socket(socket));
     call_next!(
         "connect",
         fn(socket: c_int, address: *const sockaddr, length: socklen_t) -> c_int
--- a/crates/fault-shim/src/plan.rs
+++ b/crates/fault-shim/src/plan.rs
@@ -19,6 +19,10 @@
     ShortSend,
     /// A write that is interrupted.
     InterruptedSend,
+    /// A read that fails because the connection to a server is broken.
+    BrokenReceive,
+    /// A write that fails because the connection to a server is broken.
+    BrokenSend,
     /// An accept that fails.
     Accept,
     /// A connect that fails.
@@ -30,12 +34,14 @@
 }
 
 impl Call {
-    const COUNT: usize = 8;
+    const COUNT: usize = 10;
     const ALL: [Self; Self::COUNT] = [
         Self::ShortReceive,
         Self::InterruptedReceive,
         Self::ShortSend,
         Self::InterruptedSend,
+        Self::BrokenReceive,
+        Self::BrokenSend,
         Self::Accept,
         Self::Connect,
         Self::Socket,
@@ -48,6 +54,8 @@
             Self::InterruptedReceive => "interrupted_receive",
             Self::ShortSend => "short_send",
             Self::InterruptedSend => "interrupted_send",
+            Self::BrokenReceive => "broken_receive",
+            Self::BrokenSend => "broken_send",
             Self::Accept => "accept",
             Self::Connect => "connect",
             Self::Socket => "socket",
--- a/crates/fault-shim/tests/system_calls.rs
+++ b/crates/fault-shim/tests/system_calls.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::path::PathBuf;
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -132,17 +133,23 @@
     count.expect("wait_until returns once there is a count")
 }
 
-/// Sends requests through a node that meets these faults; returns what happened to them.
-fn run(kind: &str, share: f64, seed: u64) -> Totals {
+/// Sends requests through a node that meets these faults, each kind in its share of the calls; returns what happened to
+/// them.
+fn run(faults: &[(&str, f64)], seed: u64) -> Totals {
     let servers = start_servers();
     let discovery = Discovery::start();
-    let plan = format!("seed={seed},{kind}={share}");
+    let shares: Vec<_> = faults
+        .iter()
+        .map(|(kind, share)| format!("{kind}={share}"))
+        .collect();
+    let plan = format!("seed={seed},{}", shares.join(","));
     let mut node = start_node(&discovery, &servers, &plan);
     let mut totals = Totals::default();
+    let refused = Mutex::new(Vec::new());
     thread::scope(|scope| {
         let clients: Vec<_> = (0..CLIENTS)
             .map(|index| {
-                let node = &node;
+                let (node, refused) = (&node, &refused);
                 scope.spawn(move || {
                     let mut client = node.connect();
                     let mut totals = Totals::default();
@@ -151,7 +158,14 @@
                         if number % REQUESTS_PER_CONNECTION == 0 {
                             client = node.connect();
                         }
-                        totals += send_request(&mut client, node, &id, number);
+                        let result = send_request(&mut client, node, &id, number);
+                        totals += result;
+                        if result.rejected > 0 {
+                            refused
+                                .lock()
+                                .expect("no thread panics with the lock held")
+                                .push(id);
+                        }
                     }
                     totals
                 })
@@ -174,62 +188,104 @@
     );
     node.terminate();
     assert!(node.wait().success(), "{plan}: the node ends in order");
-    let injected = injected(&node, kind);
-    assert!(injected >= 10, "{plan}: only {injected} faults");
-    eprintln!("{plan}: {injected} faults, {totals:?}");
+    let refused = refused.lock().expect("no thread panics with the lock held");
+    let wrongly_refused: Vec<_> = refused
+        .iter()
+        .filter(|id| arrivals.contains_key(*id))
+        .collect();
+    assert!(
+        wrongly_refused.is_empty(),
+        "{plan}: refused after they may have run: {wrongly_refused:?}"
+    );
+    for (kind, _) in faults {
+        let injected = injected(&node, kind);
+        assert!(injected >= 10, "{plan}: only {injected} faults of {kind}");
+    }
+    eprintln!("{plan}: {totals:?}");
     totals
 }
 
-fn check_all_served(kind: &str, share: f64) {
+/// Asserts that all requests are answered, none fails, and nine tenths are served.
+fn check_all_served(faults: &[(&str, f64)]) {
     for seed in [1, 2] {
-        let totals = run(kind, share, seed);
+        let totals = run(faults, seed);
         assert_eq!(
             totals.unanswered + totals.failed,
             0,
-            "{kind}, seed {seed}: {totals:?}"
+            "{faults:?}, seed {seed}: {totals:?}"
         );
         let wanted = CLIENTS * REQUESTS_PER_CLIENT * 9 / 10;
-        assert!(totals.served >= wanted, "{kind}, seed {seed}: {totals:?}");
+        assert!(
+            totals.served >= wanted,
+            "{faults:?}, seed {seed}: {totals:?}"
+        );
     }
 }
 
+/// A request on a broken connection may fail, but is answered, and does not run again.
+#[test]
+fn request_runs_at_most_once_if_connections_to_servers_break() {
+    for kind in ["broken_receive", "broken_send"] {
+        for seed in [1, 2] {
+            let totals = run(&[(kind, 0.1)], seed);
+            assert_eq!(totals.unanswered, 0, "{kind}, seed {seed}: {totals:?}");
+            let wanted = CLIENTS * REQUESTS_PER_CLIENT / 2;
+            assert!(totals.served >= wanted, "{kind}, seed {seed}: {totals:?}");
+        }
+    }
+}
+
+#[test]
+fn request_is_answered_if_all_kinds_of_calls_fail_at_once() {
+    check_all_served(&[
+        ("short_receive", 0.1),
+        ("interrupted_receive", 0.1),
+        ("short_send", 0.1),
+        ("interrupted_send", 0.1),
+        ("accept", 0.3),
+        ("connect", 0.1),
+        ("socket", 0.1),
+        ("wait", 0.1),
+    ]);
+}
+
 /// Guards against bytes that stay in a socket after a read that returned only some of them.
 #[test]
 fn request_is_answered_if_reads_return_less_than_there_is() {
-    check_all_served("short_receive", 0.3);
+    check_all_served(&[("short_receive", 0.3)]);
 }
 
 #[test]
 fn request_is_answered_if_reads_are_interrupted() {
-    check_all_served("interrupted_receive", 0.3);
+    check_all_served(&[("interrupted_receive", 0.3)]);
 }
 
 #[test]
 fn request_is_answered_if_writes_take_less_than_asked() {
-    check_all_served("short_send", 0.3);
+    check_all_served(&[("short_send", 0.3)]);
 }
 
 #[test]
 fn request_is_answered_if_writes_are_interrupted() {
-    check_all_served("interrupted_send", 0.3);
+    check_all_served(&[("interrupted_send", 0.3)]);
 }
 
 #[test]
 fn request_is_answered_if_accepts_fail() {
-    check_all_served("accept", 0.5);
+    check_all_served(&[("accept", 0.5)]);
 }
 
 #[test]
 fn request_is_answered_if_connects_fail() {
-    check_all_served("connect", 0.3);
+    check_all_served(&[("connect", 0.3)]);
 }
 
 #[test]
 fn request_is_answered_if_sockets_cannot_be_created() {
-    check_all_served("socket", 0.3);
+    check_all_served(&[("socket", 0.3)]);
 }
 
 #[test]
 fn request_is_answered_if_waits_are_interrupted() {
-    check_all_served("wait", 0.3);
+    check_all_served(&[("wait", 0.3)]);
 }
