--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,6 +1,6 @@
 //! Bad clients send bodies of 60 MB, two hundred at once, while usual clients send short requests. The stand-in
 //! for the platform kills the node if its memory exceeds `memory_mb`, as the page on deployment says. Judged: the node is
-//! not killed, and does not end by itself; each usual request gets its answer.
+//! not killed, and does not end by itself. What the usual requests meet is recorded.
 
 #[path = "../common.rs"]
 mod common;
