--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -9,7 +9,8 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -31,6 +32,8 @@
 const OTHERS: usize = 20;
 const OTHER_LENGTH: usize = 70_000;
 const DEADLINE: Duration = Duration::from_millis(4_800);
+/// How long a client waits: its deadline, and the half second after which a request is lost.
+const PATIENCE: Duration = Duration::from_millis(5_350);
 /// Work of a request, and of one of the crowd.
 const WORK: Duration = Duration::from_millis(60);
 const CROWD_WORK: Duration = Duration::from_millis(1_200);
@@ -55,13 +58,10 @@
                     record.line(format!("server s-{number}: ran {id} ({} bytes)", body.len()));
                     runs.lock().unwrap().entry(id.clone()).or_default().push(number);
                     thread::sleep(if id.starts_with("crowd") { CROWD_WORK } else { WORK });
-                    let report = "Srv-Load: TEXT inflight=1, qps=1, queue=0";
-                    write!(
-                        writer,
-                        "HTTP/1.1 200 OK\r\n{report}\r\nContent-Length: {}\r\n\r\n{id}",
-                        id.len()
-                    )
-                    .ok()?;
+                    write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len()).ok()?;
+                    if head.closes() {
+                        break;
+                    }
                 }
                 Some(())
             });
@@ -70,9 +70,7 @@
     address
 }
 
-fn client(node: SocketAddr, id: &str, length: usize) -> Result<u16, &'static str> {
-    let mut stream = TcpStream::connect(node).map_err(|_| "no connection")?;
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+fn send(client: &mut Client, id: &str, length: usize) -> Result<u16, &'static str> {
     let head = format!(
         "POST /api?key=k{id} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: hold-place\r\n\
          Req-Deadline: {}m\r\nContent-Length: {length}\r\n\r\n",
@@ -80,9 +78,7 @@
     );
     let mut message = head.into_bytes();
     message.resize(message.len() + length, b'x');
-    stream.write_all(&message).map_err(|_| "the request could not be written")?;
-    let response = read_response(&mut BufReader::new(stream))?;
-    Ok(response.status)
+    Ok(client.send(&message)?.status)
 }
 
 /// Judges one request; returns whether it broke the rule.
@@ -114,31 +110,41 @@
 
     let node = Node::start(discovery.address, &entries, &settings, MEMORY_MB, 1024);
     let address = node.address;
+    let mut client = Client::new(address, PATIENCE);
     for length in LENGTHS {
         for number in 0..PER_LENGTH {
             let id = format!("kib{}-{number:02}", length / KIB);
-            let answer = client(address, &id, length_of(length));
+            let answer = send(&mut client, &id, length_of(length));
             broken[0] += usize::from(judge(&record, &runs, &id, length_of(length), answer));
         }
     }
     record.line(format!("part one: requests that broke the rule: {}", broken[0]));
 
+    record.line(format!("memory of the first node, KiB: {:?}", node.memory_kib()));
     drop(node);
     let node = Node::start(discovery.address, &entries, &settings, MEMORY_MB, 1024);
     let address = node.address;
-    let send = |id: String, length: usize| {
+    let peak = Arc::new(AtomicUsize::new(0));
+    let sampler = {
+        let (peak, pid) = (Arc::clone(&peak), node.process.0.id());
+        thread::spawn(move || while let Some(now) = memory_of(pid) {
+            peak.fetch_max(now, Ordering::Relaxed);
+            thread::sleep(Duration::from_millis(5));
+        })
+    };
+    let start_client = |id: String, length: usize| {
         thread::spawn(move || {
-            let answer = client(address, &id, length);
+            let answer = send(&mut Client::new(address, PATIENCE), &id, length);
             (id, length, answer)
         })
     };
     let mut clients = Vec::new();
     for number in 0..CROWD {
-        clients.push(send(format!("crowd-{number:02}"), length_of(CROWD_LENGTH)));
+        clients.push(start_client(format!("crowd-{number:02}"), length_of(CROWD_LENGTH)));
     }
     thread::sleep(Duration::from_millis(400));
     for number in 0..OTHERS {
-        clients.push(send(format!("other-{number:02}"), length_of(OTHER_LENGTH)));
+        clients.push(start_client(format!("other-{number:02}"), length_of(OTHER_LENGTH)));
         thread::sleep(Duration::from_millis(10));
     }
     for client in clients {
@@ -146,8 +152,16 @@
         broken[1] += usize::from(judge(&record, &runs, &id, length, answer));
     }
     record.line(format!("part two: requests that broke the rule: {}", broken[1]));
-    record.line(format!("memory of the node and its peak, KiB: {:?}", node.memory_kib()));
-    record.print();
     drop(node);
+    sampler.join().expect("the sampler ends");
+    let peak = peak.load(Ordering::Relaxed);
+    record.line(format!("peak memory of the second node: {peak} KiB of {}", MEMORY_MB * 1024));
+    record.print();
+    if peak > MEMORY_MB * 1024 {
+        cannot_run("the platform would have killed the node for memory");
+    }
+    if runs.lock().unwrap().is_empty() {
+        cannot_run("no request ran");
+    }
     std::process::exit(i32::from(broken != [0, 0]));
 }
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -15,7 +15,7 @@
 use common::*;
 
 const SERVERS: usize = 12;
-const MEMORY_MB: usize = 48;
+const MEMORY_MB: usize = 32;
 /// The limit on the node's descriptors, which leaves clients 213 for requests, a third.
 const DESCRIPTORS: usize = 640;
 const BAD_CLIENTS: usize = 200;
@@ -40,13 +40,10 @@
                     skip_body(&mut reader, &head)?;
                     thread::sleep(WORK);
                     let id = head.header("req-id");
-                    let report = "Srv-Load: TEXT inflight=1, qps=1, queue=0";
-                    write!(
-                        writer,
-                        "HTTP/1.1 200 OK\r\n{report}\r\nContent-Length: {}\r\n\r\n{id}",
-                        id.len()
-                    )
-                    .ok()?;
+                    write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len()).ok()?;
+                    if head.closes() {
+                        break;
+                    }
                 }
                 Some(())
             });
@@ -55,10 +52,12 @@
     address
 }
 
-/// A bad client: a chunked body of 60 MB at full speed, until the node answers or closes. Returns the bytes written.
+/// A bad client: a chunked body of 60 MB at full speed. It reads what it is sent meanwhile.
 fn bad_client(node: SocketAddr, number: usize, written: &AtomicUsize) -> Option<()> {
     let mut stream = TcpStream::connect(node).ok()?;
     stream.set_write_timeout(Some(DURATION)).ok()?;
+    let mut reader = stream.try_clone().ok()?;
+    thread::spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
     let head = format!(
         "POST /api?key=bad{number} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: bad-{number:03}\r\n\
          Req-Kind: hold-place\r\nReq-Deadline: {}m\r\nIdempotency-Key: bad-{number:03}\r\n\
@@ -66,20 +65,20 @@
         DEADLINE.as_millis()
     );
     stream.write_all(head.as_bytes()).ok()?;
-    let mut chunk = format!("{CHUNK:x}\r\n").into_bytes();
-    chunk.resize(chunk.len() + CHUNK, b'x');
-    chunk.extend_from_slice(b"\r\n");
-    for _ in 0..BAD_BODY / CHUNK {
+    let mut left = BAD_BODY;
+    while left > 0 {
+        let length = left.min(CHUNK);
+        let mut chunk = format!("{length:x}\r\n").into_bytes();
+        chunk.resize(chunk.len() + length, b'x');
+        chunk.extend_from_slice(b"\r\n");
         stream.write_all(&chunk).ok()?;
-        written.fetch_add(CHUNK, Ordering::Relaxed);
+        written.fetch_add(length, Ordering::Relaxed);
+        left -= length;
     }
-    stream.write_all(b"0\r\n\r\n").ok()?;
-    read_response(&mut BufReader::new(stream)).ok().map(|_| ())
+    stream.write_all(b"0\r\n\r\n").ok()
 }
 
-fn usual_request(node: SocketAddr, id: &str) -> Result<u16, &'static str> {
-    let mut stream = TcpStream::connect(node).map_err(|_| "no connection")?;
-    let _ = stream.set_read_timeout(Some(DEADLINE + Duration::from_millis(550)));
+fn usual_request(client: &mut Client, id: &str) -> Result<u16, &'static str> {
     let body = "{\"room\":7}";
     let request = format!(
         "POST /api?key=k{id} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: hold-place\r\n\
@@ -87,8 +86,7 @@
         DEADLINE.as_millis(),
         body.len()
     );
-    stream.write_all(request.as_bytes()).map_err(|_| "the request could not be written")?;
-    Ok(read_response(&mut BufReader::new(stream))?.status)
+    Ok(client.send(request.as_bytes())?.status)
 }
 
 fn main() {
@@ -107,12 +105,13 @@
             let (record, stop) = (record.clone(), Arc::clone(&stop));
             thread::spawn(move || {
                 let (mut served, mut other) = (0, 0);
+                let mut connection = Client::new(address, DEADLINE + Duration::from_millis(550));
                 for number in 0.. {
                     if stop.load(Ordering::Relaxed) {
                         break;
                     }
                     let id = format!("usual-{client}-{number:03}");
-                    match usual_request(address, &id) {
+                    match usual_request(&mut connection, &id) {
                         Ok(200) => served += 1,
                         answer => {
                             other += 1;
@@ -143,7 +142,7 @@
         if let Ok(Some(status)) = node.process.0.try_wait() {
             ended = true;
             record.line(format!("the node ended by itself: {status}"));
-        } else if let Some((resident, _)) = node.memory_kib() {
+        } else if let Some(resident) = node.memory_kib() {
             peak = peak.max(resident);
             if resident > MEMORY_MB * 1024 {
                 killed = true;
@@ -172,6 +171,9 @@
     ));
     record.line(format!("the node crashed: {}", killed || ended));
     record.print();
+    if served == 0 {
+        cannot_run("no usual request was served");
+    }
     drop(node);
     std::process::exit(i32::from(killed || ended));
 }
--- a/review/common.rs
+++ b/review/common.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::fs;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -122,6 +122,13 @@
     )
 }
 
+/// The memory of a process in KiB, without the pages of its program file; `None` once it has ended.
+pub fn memory_of(pid: u32) -> Option<usize> {
+    let text = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = text.lines().find(|line| line.starts_with("RssAnon:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
 /// The node, started by the command of the deploy file.
 pub struct Node {
     pub process: Process,
@@ -148,10 +155,15 @@
         fs::write(&config, text).expect("write the node's configuration");
         let node_folder = folder.join("node");
         fs::create_dir_all(&node_folder).expect("make the node's folder");
-        let log = fs::File::create(folder.join("node.log")).expect("make the node's log");
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.join("node.log"))
+            .expect("open the node's log");
         let child = Command::new("/bin/sh")
             .args(["-c", &run_command()])
             .current_dir(root())
+            .env_remove("SILVERTHREAD_CONFIG")
             .env("ROUTER_NAME", "n0")
             .env("ROUTER_LISTEN", address.to_string())
             .env("ROUTER_DISCOVERY", discovery.to_string())
@@ -172,14 +184,9 @@
         node
     }
 
-    /// The node's resident memory and its peak, in KiB; `None` once the process has ended.
-    pub fn memory_kib(&self) -> Option<(usize, usize)> {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.process.0.id())).ok()?;
-        let field = |name: &str| {
-            let line = text.lines().find(|line| line.starts_with(name))?;
-            line.split_whitespace().nth(1)?.parse().ok()
-        };
-        Some((field("VmRSS:")?, field("VmHWM:")?))
+    /// The node's own memory in KiB; `None` once the process has ended.
+    pub fn memory_kib(&self) -> Option<usize> {
+        memory_of(self.process.0.id())
     }
 
     fn wait_until_ready(&self) {
@@ -307,6 +314,11 @@
 }
 
 impl Head {
+    /// Whether the message is the last on its connection.
+    pub fn closes(&self) -> bool {
+        self.header("connection").eq_ignore_ascii_case("close")
+    }
+
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).map_or("", String::as_str)
     }
@@ -384,6 +396,8 @@
 pub struct Response {
     pub status: u16,
     pub body: Vec<u8>,
+    /// Whether it is the last on its connection.
+    pub closes: bool,
 }
 
 /// Reads a whole response; the error says how it failed.
@@ -393,5 +407,51 @@
     let status = status.and_then(|text| text.parse().ok());
     let status = status.ok_or("the head cannot be read")?;
     let body = read_body(reader, &head).ok_or("the body is not whole")?;
-    Ok(Response { status, body })
+    let closes = head.closes();
+    Ok(Response {
+        status,
+        body,
+        closes,
+    })
+}
+
+/// A usual client: one request at a time on a connection that it keeps. If the node closes a resting connection while a
+/// request crosses, the client sends it once more on a new one.
+pub struct Client {
+    node: SocketAddr,
+    patience: Duration,
+    kept: Option<BufReader<TcpStream>>,
+}
+
+impl Client {
+    /// `patience` is how long it waits for an answer after its request's last byte.
+    pub fn new(node: SocketAddr, patience: Duration) -> Self {
+        Self {
+            node,
+            patience,
+            kept: None,
+        }
+    }
+
+    pub fn send(&mut self, message: &[u8]) -> Result<Response, &'static str> {
+        if let Some(mut kept) = self.kept.take() {
+            let is_unanswered = kept.get_mut().write_all(message).is_err()
+                || kept.fill_buf().is_ok_and(<[u8]>::is_empty)
+                || kept.fill_buf().is_err_and(|error| error.kind() == ErrorKind::ConnectionReset);
+            if !is_unanswered {
+                return self.read(kept);
+            }
+        }
+        let mut stream = TcpStream::connect(self.node).map_err(|_| "no connection")?;
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(self.patience));
+        stream.write_all(message).map_err(|_| "the request could not be written")?;
+        self.read(BufReader::new(stream))
+    }
+
+    fn read(&mut self, mut reader: BufReader<TcpStream>) -> Result<Response, &'static str> {
+        let response = read_response(&mut reader)?;
+        self.kept = Some(reader).filter(|_| !response.closes);
+        Ok(response)
+    }
 }
