A request counts as never sent only if the end of its body was withheld

What callers saw: an unsafe request of exactly 256 KiB, or of over 64 KiB while the memory for long bodies was used up, ran up to three times and was refused with 503 as harmless to repeat; the sound servers that had answered were ejected.

Cause: an exchange counted as sent only once the body told so when it was polled for its end. The buffer stopped at its limit without looking whether the body ended there, the request became a streamed one whose prefix was everything, and hyper does not poll for the end of a length that it has reached. So "the last byte was not written" was the default of a flag and no proof.

Change: the default is that a write may contain the last byte. Only the body of the attempt says otherwise, from the bytes that hyper has taken of it, before and after each frame, and a write that the socket accepts in part proves that the rest is missing. The flush plays no part any more. A body that ends at the limit of the buffer is complete.

--- a/src/node/downstream/request_body.rs
+++ b/src/node/downstream/request_body.rs
@@ -131,7 +131,12 @@
             };
             buffer.bytes.extend_from_slice(&chunk);
         }
-        Ok(BufferedBody::Prefix(buffer.freeze()))
+        // The limit may be reached with the last byte. hyper knows that if the length was announced.
+        Ok(if self.body.is_end_stream() {
+            BufferedBody::Complete(buffer.freeze())
+        } else {
+            BufferedBody::Prefix(buffer.freeze())
+        })
     }
 
     /// Streams the rest of the body to the attempt that sends it. Returns `false` if that attempt accepts no more of it.
--- a/src/node/upstream/http1/metered.rs
+++ b/src/node/upstream/http1/metered.rs
@@ -35,9 +35,14 @@
         Self { stream, progress }
     }
 
-    fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    /// Records the result of a write to which `offered_bytes` were passed.
+    fn record_write(
+        &self,
+        result: Poll<io::Result<usize>>,
+        offered_bytes: usize,
+    ) -> Poll<io::Result<usize>> {
         match &result {
-            Poll::Ready(Ok(bytes)) => self.progress.record_written(*bytes),
+            Poll::Ready(Ok(bytes)) => self.progress.record_written(*bytes, offered_bytes),
             Poll::Ready(Err(_)) => {}
             Poll::Pending => self.progress.record_write_blocked(),
         }
@@ -84,7 +89,7 @@
     ) -> Poll<io::Result<usize>> {
         self.check_input_before_write()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record_write(result)
+        self.record_write(result, buf.len())
     }
 
     fn poll_write_vectored(
@@ -93,19 +98,16 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check_input_before_write()?;
+        let offered_bytes = bufs.iter().map(|buffer| buffer.len()).sum();
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record_write(result)
+        self.record_write(result, offered_bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
-    /// hyper flushes the socket after it has written everything it has buffered. If the last byte of the request was
-    /// handed to hyper before the flush, it has therefore been written. (A body of one chunk is buffered together
-    /// with its head before any of it is written.)
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.progress.record_flush();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/src/node/upstream/http1/metered/tests.rs
+++ b/src/node/upstream/http1/metered/tests.rs
@@ -47,7 +47,7 @@
 #[tokio::test]
 async fn request_is_not_continued_once_bytes_have_arrived() {
     let (mut metered, mut server) = connected_stream().await;
-    metered.progress.set_body_complete(false);
+    metered.progress.set_end_withheld(true);
     let mut cx = Context::from_waker(Waker::noop());
     let first = Pin::new(&mut metered).poll_write(&mut cx, b"POST / HTTP/1.1\r\n");
     assert!(matches!(first, Poll::Ready(Ok(_))), "{first:?}");
@@ -57,7 +57,7 @@
     testkit::wait_until("the bytes have arrived", || {
         metered.stream.pending_input() == PendingInput::Bytes
     });
-    metered.progress.set_body_complete(true);
+    metered.progress.set_end_withheld(false);
     let last = Pin::new(&mut metered).poll_write(&mut cx, b"\r\n");
     assert!(matches!(last, Poll::Ready(Err(_))), "{last:?}");
     assert_eq!(metered.progress.bytes_sent(), BytesSent::Partial);
--- a/src/node/upstream/http1/progress.rs
+++ b/src/node/upstream/http1/progress.rs
@@ -38,9 +38,10 @@
     read_bytes: Cell<usize>,
     /// The last four bytes received.
     tail: Cell<[u8; 4]>,
-    /// Whether the request's last byte has been handed to hyper.
-    is_body_complete: Cell<bool>,
-    /// Whether the request's last byte has been written to the socket.
+    /// Whether the end of the request has not been handed to hyper yet, so that no write can contain its last byte. Set
+    /// only by the body that withholds the end: the default is that a write may contain it.
+    is_end_withheld: Cell<bool>,
+    /// Whether the request's last byte may have been written to the socket.
     is_sent: Cell<bool>,
     /// Whether the last write could not proceed because the server's receive window is full.
     is_write_blocked: Cell<bool>,
@@ -61,19 +62,20 @@
         self.sent_attempts.replace(sent_attempts.clone());
         self.written_bytes.set(0);
         self.is_sent.set(false);
-        self.is_body_complete.set(true);
+        self.is_end_withheld.set(false);
         self.is_write_blocked.set(false);
         self.read_bytes.set(0);
         self.additional_bytes.set(0);
         self.tail.set([0; 4]);
     }
 
-    /// Records whether hyper has the last byte of the request.
-    pub fn set_body_complete(&self, is_complete: bool) {
-        self.is_body_complete.set(is_complete);
+    /// Records whether the end of the request is withheld from hyper.
+    pub fn set_end_withheld(&self, is_withheld: bool) {
+        self.is_end_withheld.set(is_withheld);
     }
 
-    /// The amount of the request that has been sent.
+    /// The amount of the request that has been sent. Anything but [`BytesSent::Complete`] is a proof that the last byte
+    /// has not been written: hyper did not have it, or the socket has not accepted all bytes that hyper offered.
     pub fn bytes_sent(&self) -> BytesSent {
         match self.written_bytes.get() {
             _ if self.is_sent.get() => BytesSent::Complete,
@@ -141,20 +143,16 @@
         }
     }
 
-    /// Records written bytes.
-    pub fn record_written(&self, bytes: usize) {
+    /// Records that the socket has accepted `written_bytes` of the `offered_bytes` that hyper offered.
+    pub fn record_written(&self, written_bytes: usize, offered_bytes: usize) {
         self.is_write_blocked.set(false);
         self.written_bytes
-            .set(self.written_bytes.get() + bytes as u64);
-        self.changed.notify_one();
-    }
-
-    /// Records that hyper has written everything it has buffered.
-    pub fn record_flush(&self) {
-        let is_sent = self.has_written() && self.is_body_complete.get();
-        if is_sent && !self.is_sent.replace(true) {
+            .set(self.written_bytes.get() + written_bytes as u64);
+        let may_contain_end = !self.is_end_withheld.get() && written_bytes >= offered_bytes;
+        if may_contain_end && self.has_written() && !self.is_sent.replace(true) {
             self.sent_attempts.borrow().increment();
         }
+        self.changed.notify_one();
     }
 
     /// Whether a response head has been received in part. This is false after a complete 1xx head, since the server
--- a/src/node/upstream/http1/progress/tests.rs
+++ b/src/node/upstream/http1/progress/tests.rs
@@ -15,7 +15,8 @@
 async fn stalled_request_and_stalled_head_are_detected() {
     let progress = ExchangeProgress::default();
     progress.begin(&Counter::default());
-    progress.record_written(10);
+    progress.set_end_withheld(true);
+    progress.record_written(10, 10);
     let wait = tokio::time::timeout(LONG_WAIT, next_stall(&progress));
     assert!(
         wait.await.is_err(),
--- a/src/node/upstream/http1/request_body.rs
+++ b/src/node/upstream/http1/request_body.rs
@@ -13,6 +13,9 @@
 
 /// The request body that one attempt sends. The unbuffered rest of a streamed body is taken when hyper first polls
 /// for it; after that, no other attempt can send the request.
+///
+/// After each frame it records whether the end of the request is still withheld from hyper. This is derived from the
+/// bytes that have been handed over, since hyper does not poll for the end of a body whose length it knows.
 pub struct AttemptBody {
     request: Rc<UpstreamRequest>,
     progress: Rc<ExchangeProgress>,
@@ -20,7 +23,12 @@
     buffered: Option<Bytes>,
     /// The rest of a streamed body, once it has been taken.
     rest: Option<BodyReceiver>,
+    /// The length in bytes; `None` if it was not announced.
     content_length: Option<u64>,
+    /// Number of bytes that hyper has taken.
+    taken_bytes: u64,
+    /// Whether hyper has been told that the body has ended.
+    has_ended: bool,
 }
 
 impl AttemptBody {
@@ -29,19 +37,19 @@
     pub fn new(request: &Rc<UpstreamRequest>, progress: &Rc<ExchangeProgress>) -> Self {
         let (buffered, content_length) = match &request.body {
             RequestBody::Buffered(body) => (body.clone(), Some(body.len() as u64)),
-            RequestBody::Streamed(upload) => {
-                progress.set_body_complete(false);
-                (upload.prefix(), upload.total_bytes())
-            }
+            RequestBody::Streamed(upload) => (upload.prefix(), upload.total_bytes()),
         };
-        let buffered = Some(buffered).filter(|buffered| !buffered.is_empty());
-        Self {
+        let body = Self {
             request: Rc::clone(request),
             progress: Rc::clone(progress),
-            buffered,
+            buffered: Some(buffered).filter(|buffered| !buffered.is_empty()),
             rest: None,
             content_length,
-        }
+            taken_bytes: 0,
+            has_ended: false,
+        };
+        body.record_progress();
+        body
     }
 
     /// Whether the complete body is buffered.
@@ -49,32 +57,47 @@
     pub fn is_buffered(&self) -> bool {
         matches!(self.request.body, RequestBody::Buffered(_))
     }
-}
 
-impl Body for AttemptBody {
-    type Data = Bytes;
-    type Error = Truncated;
+    fn record_progress(&self) {
+        let is_end_withheld = match self.content_length {
+            Some(length) => self.taken_bytes < length,
+            None => !self.has_ended,
+        };
+        self.progress.set_end_withheld(is_end_withheld);
+    }
 
-    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<NextFrame> {
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<NextFrame> {
         if let Some(buffered) = self.buffered.take() {
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
-        let request = Rc::clone(&self.request);
-        let RequestBody::Streamed(upload) = &request.body else {
+        let RequestBody::Streamed(upload) = &self.request.body else {
             return Poll::Ready(None);
         };
         if self.rest.is_none() {
             self.rest = upload.take_rest();
         }
-        let Some(rest) = &mut self.rest else {
-            return Poll::Ready(Some(Err(Truncated)));
-        };
-        let frame = ready!(rest.poll(cx));
-        // hyper does not poll for the end of a body once its stated length has been reached.
-        let is_last = frame.is_none() || rest.remaining_bytes() == Some(0);
-        if is_last {
-            self.progress.set_body_complete(true);
+        match &mut self.rest {
+            Some(rest) => rest.poll(cx),
+            None => Poll::Ready(Some(Err(Truncated))),
         }
+    }
+}
+
+impl Body for AttemptBody {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<NextFrame> {
+        let frame = ready!(self.poll_next(cx));
+        match &frame {
+            Some(Ok(frame)) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.taken_bytes += bytes as u64;
+            }
+            Some(Err(Truncated)) => {}
+            None => self.has_ended = true,
+        }
+        self.record_progress();
         Poll::Ready(frame)
     }
 
@@ -88,3 +111,6 @@
             .unwrap_or_default()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/tests/request_lengths.rs
@@ -0,0 +1,175 @@
+//! Requests of all lengths and framings, with and without memory for their bodies: each runs at most once, none that has
+//! run is refused, and the servers that served them are not ejected.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use testkit::*;
+
+const KIB: usize = 1024;
+/// Lengths around each limit at which a node reads, buffers or forwards a body in another way.
+const LENGTHS: [usize; 14] = [
+    0,
+    1,
+    8 * KIB - 1,
+    8 * KIB,
+    64 * KIB - 1,
+    64 * KIB,
+    64 * KIB + 1,
+    70_000,
+    128 * KIB,
+    256 * KIB - 1,
+    256 * KIB,
+    256 * KIB + 1,
+    300 * KIB,
+    1_000_000,
+];
+/// The smallest memory limit of a node, in MiB.
+const MEMORY_MB: &str = "\"memory_mb\":32";
+/// Time that a request of the crowd takes, which uses up the memory for long bodies meanwhile.
+const CROWD_WORK: Duration = Duration::from_millis(700);
+
+/// How the length of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum BodyFraming {
+    ContentLength,
+    /// In chunks of this many bytes.
+    Chunked(usize),
+}
+
+const FRAMINGS: [BodyFraming; 4] = [
+    BodyFraming::ContentLength,
+    BodyFraming::Chunked(16 * KIB),
+    BodyFraming::Chunked(64 * KIB),
+    BodyFraming::Chunked(1 << 20),
+];
+
+fn request(id: &str, class: &str, length: usize, framing: BodyFraming) -> Vec<u8> {
+    let key = format!("Idempotency-Key: {id}\r\n");
+    let head = post_request(id, class, if class == "hold" { &key } else { "" }, "");
+    let body = vec![b'x'; length];
+    let BodyFraming::Chunked(chunk_bytes) = framing else {
+        let head = head.replace("Content-Length: 0", &format!("Content-Length: {length}"));
+        return [head.as_bytes(), &body].concat();
+    };
+    let head = head.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let mut message = head.into_bytes();
+    for chunk in body.chunks(chunk_bytes) {
+        message.extend(format!("{:x}\r\n", chunk.len()).bytes());
+        message.extend(chunk);
+        message.extend(b"\r\n");
+    }
+    message.extend(b"0\r\n\r\n");
+    message
+}
+
+/// Sends a request on a connection of its own. Returns the response's status and body.
+fn exchange(node: SocketAddr, message: &[u8]) -> Option<(u16, Vec<u8>)> {
+    let mut stream = TcpStream::connect(node).expect("connect to the node");
+    stream
+        .set_read_timeout(Some(WAIT_TIMEOUT))
+        .expect("set the read timeout");
+    // A node that turns the request away may close the connection before it has read the whole body.
+    let _ = stream.write_all(message);
+    let response = Message::read(&mut BufReader::new(stream))?;
+    Some((response.status(), response.body))
+}
+
+/// A server that reports the length of each body that it has received, after this long for the ids of the crowd.
+fn start_server() -> Arc<Server> {
+    Arc::new(Server::start(|request| {
+        if request
+            .header("req-id")
+            .is_some_and(|id| id.starts_with("crowd"))
+        {
+            thread::sleep(CROWD_WORK);
+        }
+        Reply::ok(&request.body.len().to_string())
+    }))
+}
+
+fn start_node(servers: &[Arc<Server>]) -> (Node, Discovery) {
+    let discovery = Discovery::start();
+    let entries: Vec<_> = servers
+        .iter()
+        .enumerate()
+        .map(|(number, server)| server.endpoint_entry(&format!("s-{number}"), "ready"))
+        .collect();
+    let endpoints = endpoint_list(1, true, &entries);
+    let text = config(discovery.address, &endpoints, &settings(15_000))
+        .replace("\"memory_mb\":192", MEMORY_MB);
+    (Node::start(&text), discovery)
+}
+
+fn runs(servers: &[Arc<Server>], id: &str) -> usize {
+    let ids = servers.iter().flat_map(|server| server.requests());
+    ids.filter(|request| request.header("req-id") == Some(id))
+        .count()
+}
+
+fn assert_no_ejection(node: &Node) {
+    let log = node.log();
+    let ejected = log.iter().find(|line| line.contains("outlier detection"));
+    assert_eq!(ejected, None, "sound servers must not be ejected");
+}
+
+/// Guards against a request that runs several times and is refused as never run, because its length is a limit at which
+/// the node treats bodies differently.
+#[test]
+fn requests_of_all_lengths_and_framings_run_once_and_are_served() {
+    let servers: Vec<_> = (0..3).map(|_| start_server()).collect();
+    let (node, _discovery) = start_node(&servers);
+    for class in ["pay", "hold"] {
+        for framing in FRAMINGS {
+            for length in LENGTHS {
+                let id = format!("{class}-{length}-{framing:?}");
+                let response = exchange(node.address, &request(&id, class, length, framing));
+                let expected = (200, length.to_string().into_bytes());
+                assert_eq!(response, Some(expected), "{id}");
+                assert_eq!(runs(&servers, &id), 1, "{id}");
+            }
+        }
+    }
+    assert_no_ejection(&node);
+}
+
+/// Guards against requests that run several times and are refused while the memory for long bodies is used up.
+#[test]
+fn requests_run_at_most_once_while_the_memory_for_bodies_is_used_up() {
+    let servers: Vec<_> = (0..3).map(|_| start_server()).collect();
+    let (node, _discovery) = start_node(&servers);
+    let address = node.address;
+    let crowd = (0..50).map(|number| (format!("crowd-{number}"), 250 * KIB));
+    let lengths = LENGTHS.into_iter().filter(|length| *length > 8 * KIB);
+    let others = lengths.map(|length| (format!("other-{length}"), length));
+    let clients: Vec<_> = crowd
+        .chain(others)
+        .map(|(id, length)| {
+            let is_in_crowd = id.starts_with("crowd");
+            let client = thread::spawn(move || {
+                let message = request(&id, "pay", length, BodyFraming::ContentLength);
+                (id, length, exchange(address, &message))
+            });
+            if !is_in_crowd {
+                thread::sleep(Duration::from_millis(10));
+            }
+            client
+        })
+        .collect();
+    let mut served = 0;
+    for client in clients {
+        let (id, length, response) = client.join().expect("the client does not panic");
+        let (status, body) = response.unwrap_or_else(|| panic!("{id} has no response"));
+        let runs = runs(&servers, &id);
+        match status {
+            200 => assert_eq!((runs, body), (1, length.to_string().into_bytes()), "{id}"),
+            _ => assert_eq!((runs, status), (0, 503), "{id}"),
+        }
+        served += usize::from(status == 200);
+    }
+    assert!(served >= 10, "only {served} requests were served");
+    assert_no_ejection(&node);
+}
