Servers that turn a request away before its last byte are not ejected

What callers saw: a server that declined a long request early, or rejected it with a 4xx, counted as unreachable: its address failed and it was ejected, and the request went on to the next server. One client with a body that servers refuse could have every server ejected.

Cause: each response before the last byte was treated as bytes that nobody had asked for, whatever it said (reject_early_response). Where the response arrived between two writes, the write found it first and broke the connection unread.

Change: an early 503 or 504 with Srv-Declined ends the attempt as overloaded, an early fault of the request as such. Neither is forwarded, nothing more of the request is written, and any other early response is rejected as before. Behind a part of a request the next write waits until the response has been read.

The unit test of the write behind received bytes expected an error at once. It now expects that the write waits, fails once the bytes have been read, and that the server gets nothing of it, which it did not check before.

--- a/src/node/upstream/http1/connection.rs
+++ b/src/node/upstream/http1/connection.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use balancer::AttemptResult;
 use flow_control::response_stall_timeout_ms;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
@@ -18,8 +19,9 @@
 use super::metered::MeteredStream;
 use super::progress::{ExchangeProgress, MIN_SEND_STALL_TIMEOUT};
 use super::request_body::AttemptBody;
-use super::response_reader::STREAMING_STALL_TIMEOUT;
+use super::response_reader::{declines, load_report, STREAMING_STALL_TIMEOUT};
 use crate::node::admin::log;
+use crate::node::upstream::response::attempt_result;
 use crate::node::upstream::stream::Stream;
 use crate::node::upstream::{AttemptOutcome, Exchange, ExchangeError, UpstreamRequest};
 
@@ -92,16 +94,23 @@
         let remaining_ms = exchange.remaining.as_secs_f64() * 1e3;
         let stall_timeout = Duration::from_secs_f64(response_stall_timeout_ms(remaining_ms) / 1e3);
         let sent = self.send(exchange, stall_timeout).await;
-        match sent.and_then(|response| self.reject_early_response(response)) {
-            Ok(response) => Ok(self
-                .read_response(response, stall_timeout, exchange.on_streamed_response)
-                .await),
-            Err(error) => Err(ExchangeError {
-                bytes_sent: self.progress.bytes_sent(),
-                error,
-                has_unsolicited_bytes: self.progress.has_unsolicited_bytes(),
-            }),
-        }
+        let error = match sent {
+            Ok(response) if self.progress.bytes_sent() == BytesSent::Complete => {
+                return Ok(self
+                    .read_response(response, stall_timeout, exchange.on_streamed_response)
+                    .await);
+            }
+            Ok(response) => match early_outcome(&response) {
+                Some(outcome) => return Ok(outcome),
+                None => self.reject_early_response(),
+            },
+            Err(error) => error,
+        };
+        Err(ExchangeError {
+            bytes_sent: self.progress.bytes_sent(),
+            error,
+            has_unsolicited_bytes: self.progress.has_unsolicited_bytes(),
+        })
     }
 
     /// Sends a request and waits for the response head.
@@ -140,16 +149,10 @@
 
     /// Rejects a response that arrived before the last byte of the request was written: it is not the response to that
     /// request, which has not run.
-    fn reject_early_response(
-        &self,
-        response: Response<Incoming>,
-    ) -> Result<Response<Incoming>, ConnectionError> {
-        if self.progress.bytes_sent() == BytesSent::Complete {
-            return Ok(response);
-        }
+    fn reject_early_response(&self) -> ConnectionError {
         self.progress.record_unsolicited_bytes();
         log::request_line("a server responded before it had the last byte of the request");
-        Err(ConnectionError::InvalidResponse)
+        ConnectionError::InvalidResponse
     }
 
     /// Awaits a future that depends on this connection while driving the connection.
@@ -158,6 +161,22 @@
     }
 }
 
+/// The outcome of an attempt whose response arrived before the last byte of the request was written, if a server may
+/// respond so early: it is overloaded, or rejects the request itself. Neither is a fault of the server or its address.
+/// Nothing more of the request is written, and the response is not forwarded.
+fn early_outcome(response: &Response<Incoming>) -> Option<AttemptOutcome> {
+    let result = attempt_result(response.status(), declines(response.headers()));
+    matches!(
+        result,
+        AttemptResult::Overloaded | AttemptResult::ClientError
+    )
+    .then(|| AttemptOutcome {
+        result,
+        report: load_report(response.headers()),
+        response: None,
+    })
+}
+
 /// Polls a connection, and closes it once it has ended.
 fn poll_connection(
     connection: &mut Option<HyperConnection>,
--- a/src/node/upstream/http1/metered.rs
+++ b/src/node/upstream/http1/metered.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
@@ -50,18 +50,28 @@
     }
 
     /// Checks, before each write of a request, for input: a server runs a request once it has the last byte, so bytes
-    /// that arrive earlier are not the response. Asks the system, since the event loop may not have reported the input
-    /// yet. If the check fails, nothing more is written, so the request cannot have run.
-    fn check_input_before_write(&self) -> io::Result<()> {
+    /// that arrive earlier are not the response of a request that has run. Asks the system, since the event loop may not
+    /// have reported the input yet. Once input has been read, nothing more is written, so the request cannot have run.
+    ///
+    /// Behind a part of the request, input is read before it is judged: the server may have turned the request away.
+    fn poll_input_before_write(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if !self.progress.has_received() {
             match self.stream.pending_input() {
-                PendingInput::None => return Ok(()),
+                PendingInput::None => return Poll::Ready(Ok(())),
+                PendingInput::Bytes if self.progress.has_written() => {
+                    if self.stream.poll_readable(cx).is_ready() {
+                        cx.waker().wake_by_ref();
+                    }
+                    return Poll::Pending;
+                }
                 PendingInput::Bytes => {}
-                PendingInput::Closed => return Err(io::Error::other(InputBeforeRequestEnd)),
+                PendingInput::Closed => {
+                    return Poll::Ready(Err(io::Error::other(InputBeforeRequestEnd)))
+                }
             }
         }
         self.progress.record_unsolicited_bytes();
-        Err(io::Error::other(InputBeforeRequestEnd))
+        Poll::Ready(Err(io::Error::other(InputBeforeRequestEnd)))
     }
 }
 
@@ -87,7 +97,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check_input_before_write()?;
+        ready!(self.poll_input_before_write(cx))?;
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.record_write(result, buf.len())
     }
@@ -97,7 +107,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check_input_before_write()?;
+        ready!(self.poll_input_before_write(cx))?;
         let offered_bytes = bufs.iter().map(|buffer| buffer.len()).sum();
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.record_write(result, offered_bytes)
--- a/src/node/upstream/http1/metered/tests.rs
+++ b/src/node/upstream/http1/metered/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
-use std::io::Write;
+use std::future::poll_fn;
+use std::io::{Read, Write};
 use std::task::Waker;
 
 use admin::Counter;
@@ -58,8 +59,23 @@
         metered.stream.pending_input() == PendingInput::Bytes
     });
     metered.progress.set_end_withheld(false);
+    let waiting = Pin::new(&mut metered).poll_write(&mut cx, b"\r\n");
+    assert!(
+        waiting.is_pending(),
+        "{waiting:?} before the bytes were read"
+    );
+    let mut storage = [0; 64];
+    let mut buffer = ReadBuf::new(&mut storage);
+    let read = poll_fn(|cx| Pin::new(&mut metered).poll_read(cx, &mut buffer));
+    read.await.expect("read the bytes that have arrived");
     let last = Pin::new(&mut metered).poll_write(&mut cx, b"\r\n");
     assert!(matches!(last, Poll::Ready(Err(_))), "{last:?}");
     assert_eq!(metered.progress.bytes_sent(), BytesSent::Partial);
     assert!(metered.progress.has_unsolicited_bytes());
+    drop(metered);
+    let mut received = Vec::new();
+    server
+        .read_to_end(&mut received)
+        .expect("read what the server got");
+    assert_eq!(received, b"POST / HTTP/1.1\r\n");
 }
--- a/src/node/upstream/http1/response_reader.rs
+++ b/src/node/upstream/http1/response_reader.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use balancer::AttemptResult;
+use balancer::{AttemptResult, LoadReport};
 use bytes::{Bytes, BytesMut};
 use flow_control::TransferDeadline;
 use http_body_util::BodyExt;
@@ -35,7 +35,7 @@
         on_streamed_response: &dyn Fn(UpstreamResponse),
     ) -> AttemptOutcome {
         let (head, body) = response.into_parts();
-        let report = head.headers.get("srv-load").and_then(decode_load_report);
+        let report = load_report(&head.headers);
         let is_rejected = declines(&head.headers);
         let result = attempt_result(head.status, is_rejected);
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
@@ -169,8 +169,13 @@
     }
 }
 
+/// The load report of a response head, if it has one.
+pub(super) fn load_report(headers: &HeaderMap) -> Option<LoadReport> {
+    headers.get("srv-load").and_then(decode_load_report)
+}
+
 /// Whether a response says, without contradiction, that its request was declined and never ran.
-fn declines(headers: &HeaderMap) -> bool {
+pub(super) fn declines(headers: &HeaderMap) -> bool {
     let mut values = headers.get_all("srv-declined").iter().peekable();
     values.peek().is_some() && values.all(|value| value == "1")
 }
--- a/src/node/upstream/stream.rs
+++ b/src/node/upstream/stream.rs
@@ -73,6 +73,14 @@
         }
     }
 
+    /// Waits until the event loop reports input.
+    pub fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self {
+            Self::Tcp(stream) => stream.get_ref().poll_read_ready(cx),
+            Self::Unix(stream) => stream.get_ref().poll_read_ready(cx),
+        }
+    }
+
     /// Peeks at the socket itself, since the event loop may not have reported the input yet. Costs one system call.
     #[must_use]
     pub fn pending_input(&self) -> PendingInput {
--- a/tests/request_lengths.rs
+++ b/tests/request_lengths.rs
@@ -1,8 +1,8 @@
 //! Requests of all lengths and framings, with and without memory for their bodies: each runs at most once, none that has
 //! run is refused, and the servers that served them are not ejected.
 
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -178,3 +178,55 @@
     assert!(served >= 10, "only {served} requests were served");
     assert_no_ejection(&node);
 }
+
+/// A server that responds to each request once it has read this many bytes of it, and then reads on.
+fn start_early_server(prefix_bytes: usize, reply: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
+    let address = listener.local_addr().expect("read the local address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || {
+                let _ = stream.read_exact(&mut vec![0; prefix_bytes]);
+                let _ = stream.write_all(reply.as_bytes());
+                std::io::copy(&mut stream, &mut std::io::sink())
+            });
+        }
+    });
+    address
+}
+
+/// Guards against ejecting servers that turn a request away before they have read all of it: they are sound, and one
+/// client could so have all servers ejected.
+#[test]
+fn servers_that_turn_a_long_request_away_early_are_not_ejected() {
+    let replies = [
+        (
+            "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n",
+            503,
+        ),
+        (
+            "HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\n\r\n",
+            502,
+        ),
+    ];
+    for (reply, expected_status) in replies {
+        let discovery = Discovery::start();
+        let entries: Vec<_> = (0..3)
+            .map(|number| {
+                let address = start_early_server(100_000, reply);
+                endpoint_entry(&format!("s-{number}"), address, "ready")
+            })
+            .collect();
+        let endpoints = endpoint_list(1, true, &entries);
+        let node = Node::start(&config(discovery.address, &endpoints, &settings(15_000)));
+        let mut stream = TcpStream::connect(node.address).expect("connect to the node");
+        let head =
+            post_request("a", "pay", "", "").replace("Content-Length: 0", "Content-Length: 600000");
+        let first_part = [head.as_bytes(), &vec![b'x'; 300_000]].concat();
+        stream.write_all(&first_part).expect("write the first part");
+        let response = Message::read(&mut BufReader::new(&stream));
+        let response = response.expect("the node answers the request");
+        assert_eq!(response.status(), expected_status, "{reply}");
+        assert_no_ejection(&node);
+    }
+}
