Memory budgets can be waited for, in order, and reservations shrink

Cause: a budget could only be tried. A user of it that could as well wait had to fail, and one that reserved for the longest case could not give back the rest.

--- a/crates/flow-control/src/memory_budget/tests.rs
+++ b/crates/flow-control/src/memory_budget/tests.rs
@@ -42,3 +42,30 @@
         }
     }
 }
+
+#[test]
+fn shrunk_reservation_returns_the_rest() {
+    let budget = MemoryBudget::new(100);
+    let mut reservation = budget.try_reserve(60).expect("reserve 60 of 100 bytes");
+    reservation.shrink_to(80);
+    assert_eq!((reservation.bytes(), budget.available()), (60, 40));
+    reservation.shrink_to(25);
+    assert_eq!((reservation.bytes(), budget.available()), (25, 75));
+}
+
+/// Guards against a large reservation that never comes because smaller ones are granted before it, and
+/// against one that nobody waits for any more and that keeps its bytes.
+#[tokio::test(start_paused = true)]
+async fn reservations_are_granted_in_the_order_of_their_requests() {
+    const LONG_WAIT: std::time::Duration = std::time::Duration::from_secs(60);
+    let budget = MemoryBudget::new(100);
+    assert!(budget.reserve(101).await.is_none(), "more than the budget");
+    let first = budget.try_reserve(60).expect("reserve 60 of 100 bytes");
+    let mut large = std::pin::pin!(budget.reserve(80));
+    assert!(tokio::time::timeout(LONG_WAIT, &mut large).await.is_err());
+    let small = tokio::time::timeout(LONG_WAIT, budget.reserve(30)).await;
+    assert!(small.is_err(), "80 bytes were asked for earlier");
+    drop(first);
+    let large = large.await.expect("80 of 100 bytes are available");
+    assert_eq!((large.bytes(), budget.available()), (80, 20));
+}
