--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -113,24 +113,57 @@
     }
 }
 
+/// Memory of a connection from a client with a request in progress, in bytes, beyond what its messages reserve.
+pub(super) const CLIENT_CONNECTION_BYTES: usize = 32 * 1024;
+/// Memory of a connection to a server with an exchange in progress, in bytes, beyond what its messages reserve.
+pub(super) const SERVER_CONNECTION_BYTES: usize = 24 * 1024;
+/// Thirty-seconds of the memory that connections from clients may use.
+const CLIENT_CONNECTIONS_SHARE: usize = 12;
+/// Thirty-seconds of the memory that connections to servers may use.
+const SERVER_CONNECTIONS_SHARE: usize = 9;
+/// Thirty-seconds of the memory that the process needs without connections.
+const PROCESS_SHARE: usize = 3;
+/// Thirty-seconds of the memory that messages may use at most.
+const MAX_MESSAGES_SHARE: usize = 16;
+
 impl Limits {
-    /// The maximum number of connections from clients: half of all descriptors.
+    /// A number of thirty-seconds of the memory, in bytes.
+    fn memory_share(self, thirty_seconds: usize) -> usize {
+        self.memory_mb.saturating_mul(1024 * 1024 / 32) * thirty_seconds
+    }
+
+    /// The maximum number of connections from clients: half of all descriptors, but no more than their share of the memory
+    /// holds.
     #[must_use]
     pub fn client_connections(self) -> usize {
-        (self.file_descriptors / 2).max(1)
+        let max_by_memory = self.memory_share(CLIENT_CONNECTIONS_SHARE) / CLIENT_CONNECTION_BYTES;
+        (self.file_descriptors / 2).min(max_by_memory).max(1)
+    }
+
+    /// The maximum number of requests in flight: one for each connection from a client, and as many whose clients have
+    /// disconnected as there are connections to servers.
+    #[must_use]
+    pub fn requests_in_flight(self) -> usize {
+        self.client_connections() + self.server_connections()
     }
 
-    /// The maximum number of bytes of long uploads that are buffered at the same time: a quarter of the memory.
+    /// The memory that messages may use beyond the fixed cost of connections, in bytes: what the process and its
+    /// connections leave, at most half of the memory.
     #[must_use]
-    pub fn buffered_upload_bytes(self) -> usize {
-        self.memory_mb.saturating_mul(1024 * 1024 / 4)
+    pub fn message_bytes(self) -> usize {
+        let connections = self.client_connections() * CLIENT_CONNECTION_BYTES
+            + self.server_connections() * SERVER_CONNECTION_BYTES;
+        self.memory_share(32 - PROCESS_SHARE)
+            .saturating_sub(connections)
+            .min(self.memory_share(MAX_MESSAGES_SHARE))
     }
 
-    /// The maximum number of connections to servers: three eighths of all descriptors. The remaining eighth is for
-    /// discovery and the operating system.
+    /// The maximum number of connections to servers: three eighths of all descriptors, but no more than their share of the
+    /// memory holds. The remaining eighth is for discovery and the operating system.
     #[must_use]
     pub fn server_connections(self) -> usize {
-        (self.file_descriptors * 3 / 8).max(1)
+        let max_by_memory = self.memory_share(SERVER_CONNECTIONS_SHARE) / SERVER_CONNECTION_BYTES;
+        (self.file_descriptors * 3 / 8).min(max_by_memory).max(1)
     }
 }
 
--- a/src/node/dispatcher/attempts.rs
+++ b/src/node/dispatcher/attempts.rs
@@ -129,7 +129,8 @@
             let Some(current) = current.filter(|current| current.number == attempt) else {
                 return;
             };
-            current.streaming_after = Some(current.sent_at.elapsed());
+            let elapsed = current.sent_at.elapsed();
+            current.streaming_after = Some(elapsed.saturating_sub(response.memory_wait));
             if let Some(responder) = request.responder.take() {
                 let _ = responder.send(FinalResponse::Served(response)); // Fails if the client has disconnected.
             }
@@ -157,6 +158,9 @@
                 return;
             };
             let response = outcome.response.take();
+            let memory_wait = response
+                .as_ref()
+                .map_or(Duration::ZERO, |response| response.memory_wait);
             if let (Some(response), Some(responder)) = (
                 response,
                 request.responder.take_if(|_| is_final(outcome.result)),
@@ -165,7 +169,7 @@
             }
             let elapsed = current
                 .streaming_after
-                .unwrap_or_else(|| current.sent_at.elapsed());
+                .unwrap_or_else(|| current.sent_at.elapsed().saturating_sub(memory_wait));
             (current.server, elapsed)
         };
         let ended = EndedAttempt {
--- a/src/node/dispatcher/mod.rs
+++ b/src/node/dispatcher/mod.rs
@@ -33,6 +33,7 @@
 use crate::node::clock::Clock;
 use crate::node::config::{Config, ConfigError};
 use crate::node::discovery::endpoint_list::decode::decode_endpoints;
+use crate::node::memory::NodeMemory;
 use crate::node::upstream::addresses::ConfiguredAddresses;
 use crate::node::upstream::servers::{PoolLimits, Servers};
 use crate::settings::SettingsFormatError;
@@ -103,7 +104,7 @@
             servers,
             server_ids: RefCell::default(),
             max_attempts: config.settings.max_attempts,
-            max_in_flight: config.max_in_flight,
+            max_in_flight: config.max_in_flight.min(config.limits.requests_in_flight()),
             next_request: Cell::new(0),
             in_flight: RefCell::default(),
             events: RefCell::default(),
@@ -120,6 +121,12 @@
         Ok(dispatcher)
     }
 
+    /// The memory budgets of the node.
+    #[must_use]
+    pub fn memory(&self) -> Rc<NodeMemory> {
+        self.servers.memory()
+    }
+
     /// The time of the dispatcher's monotonic clock, in milliseconds of Unix time.
     #[must_use]
     pub fn now_ms(&self) -> f64 {
--- a/src/node/downstream/body_stream.rs
+++ b/src/node/downstream/body_stream.rs
@@ -7,17 +7,20 @@
 
 use std::cell::RefCell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use flow_control::TransferDeadline;
+use flow_control::{Reservation, TransferDeadline};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 use pool::ConnectionError;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::node::memory::detach_if_short;
+
 /// Number of chunks buffered between sender and receiver: one is written while the next is read.
 const CHANNEL_CAPACITY: usize = 1;
 
@@ -29,6 +32,8 @@
 pub enum StreamError {
     /// The connection that the body is read from failed.
     Connection(ConnectionError),
+    /// The memory for the body could not be reserved in time.
+    MemoryExhausted,
     /// The receiver was dropped, or reads more slowly than the minimum transfer rate.
     ReceiverGone,
 }
@@ -81,15 +86,19 @@
     prefix: Bytes,
     /// What follows the prefix; `None` once an attempt has taken it.
     rest: RefCell<Option<BodyReceiver>>,
+    /// The memory of the stream, until the request has ended.
+    _reservation: Rc<Reservation>,
 }
 
 impl Upload {
-    /// Creates a body that begins with `prefix`; `rest` receives what follows it.
+    /// Creates a body that begins with `prefix`; `rest` receives what follows it. The reservation is for the chunks that
+    /// the stream holds.
     #[must_use]
-    pub fn new(prefix: Bytes, rest: BodyReceiver) -> Self {
+    pub fn new(prefix: Bytes, rest: BodyReceiver, reservation: Rc<Reservation>) -> Self {
         Self {
             prefix,
             rest: RefCell::new(Some(rest)),
+            _reservation: reservation,
         }
     }
 
@@ -153,6 +162,7 @@
         // Time spent waiting for the peer that sends the body does not count against the peer that receives it.
         self.deadline
             .exclude_pause(now_ms - self.last_send_ended_ms);
+        let chunk = detach_if_short(chunk);
         let bytes = chunk.len();
         let timeout = Duration::from_secs_f64((self.deadline.due_ms() - now_ms).max(0.0) / 1e3);
         let result = tokio::time::timeout(timeout, self.chunks.send(Chunk::Data(chunk))).await;
--- a/src/node/downstream/connection.rs
+++ b/src/node/downstream/connection.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::node::admin::log;
@@ -27,6 +28,10 @@
 /// Size of hyper's buffer: limits the head of a request, and how much of a body is read at a time.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Response to a long head for which no memory is available. Nothing has been forwarded.
+const HEAD_REFUSED_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// How the serving of requests on a connection ended.
 #[derive(PartialEq)]
 enum ConnectionEnd {
@@ -44,8 +49,11 @@
             "cannot set TCP_NODELAY on a client connection: {error}"
         ));
     }
-    let socket = Socket::new(stream, guard);
+    let mut socket = Socket::new(stream, guard, Rc::clone(&state.memory));
     if serve_requests(&socket, &state).await == ConnectionEnd::Graceful {
+        if socket.is_head_refused() {
+            let _ = socket.write_all(HEAD_REFUSED_RESPONSE).await; // The client may have disconnected.
+        }
         linger(&socket).await;
     }
 }
@@ -118,6 +126,7 @@
     connection.enter(Stage::SendingResponse);
     connection.set_streaming(matches!(response.body(), ResponseStream::Streamed(..)));
     let must_close = state.connection_policy() > ConnectionPolicy::KeepAlive
+        || connection.read_buffer_memory().is_some()
         || socket.framing.borrow().must_be_last(number);
     if must_close || state.table.should_close_after_response(connection) {
         response
--- a/src/node/downstream/connection_table.rs
+++ b/src/node/downstream/connection_table.rs
@@ -270,6 +270,7 @@
     pub fn record_flushed(&self) -> bool {
         let is_complete = self.connection.is_response_complete();
         if is_complete {
+            self.connection.release_response_memory();
             self.connection.enter(Stage::Idle);
             self.table.record_idle(&self.connection);
         }
--- a/src/node/downstream/connection_table/tracked_connection.rs
+++ b/src/node/downstream/connection_table/tracked_connection.rs
@@ -1,9 +1,11 @@
 //! One connection in the table: its stage, the stage's timeout, and the request to close the connection.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use admin::ConnectionPolicy;
+use flow_control::Reservation;
 use tokio::sync::Notify;
 
 /// Maximum time from the first byte of a request's head to the last; for the first head on a connection, from the accept.
@@ -51,6 +53,13 @@
     is_reuse_recorded: Cell<bool>,
     is_close_requested: Cell<bool>,
     close_request: Notify,
+    /// The memory of a streamed response that is being written.
+    response_memory: RefCell<Option<Reservation>>,
+    /// The memory of a read buffer that has grown for a long head or for large reads. The buffer keeps its size, so this is
+    /// held until the close.
+    read_buffer_memory: RefCell<Option<Rc<Reservation>>>,
+    /// Whether reads may exceed [`crate::node::memory::MAX_READ_BYTES`].
+    has_large_reads: Cell<bool>,
 }
 
 impl TrackedConnection {
@@ -65,6 +74,9 @@
             is_reuse_recorded: Cell::new(false),
             is_close_requested: Cell::new(false),
             close_request: Notify::new(),
+            response_memory: RefCell::default(),
+            read_buffer_memory: RefCell::default(),
+            has_large_reads: Cell::new(false),
         }
     }
 
@@ -127,6 +139,39 @@
         self.stage.get() == Stage::SendingResponse && !self.is_streaming.get()
     }
 
+    /// Holds the memory of a response until its last byte has been written or the connection is closed.
+    pub fn hold_until_written(&self, reservation: Reservation) {
+        self.response_memory.replace(Some(reservation));
+    }
+
+    /// Releases the memory of the response, whose last byte has been written.
+    pub(super) fn release_response_memory(&self) {
+        self.response_memory.take();
+    }
+
+    /// Holds the memory of a read buffer that grows until the connection is closed.
+    pub fn hold_read_buffer_memory(&self, reservation: Rc<Reservation>) {
+        self.read_buffer_memory.replace(Some(reservation));
+    }
+
+    /// Returns the memory of a read buffer that has grown; `None` if it has its usual size.
+    #[must_use]
+    pub fn read_buffer_memory(&self) -> Option<Rc<Reservation>> {
+        self.read_buffer_memory.borrow().clone()
+    }
+
+    /// Allows large reads, whose memory is held until the connection is closed.
+    pub fn allow_large_reads(&self, reservation: Rc<Reservation>) {
+        self.hold_read_buffer_memory(reservation);
+        self.has_large_reads.set(true);
+    }
+
+    /// Returns whether large reads are allowed.
+    #[must_use]
+    pub fn has_large_reads(&self) -> bool {
+        self.has_large_reads.get()
+    }
+
     /// Counts a request. Returns the number of requests so far, including this one.
     pub(super) fn count_request(&self) -> u64 {
         self.request_count.set(self.request_count.get() + 1);
--- a/src/node/downstream/request_handler.rs
+++ b/src/node/downstream/request_handler.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use admin::Counter;
+use flow_control::Reservation;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -14,7 +15,7 @@
 use crate::node::dispatcher::{FinalResponse, NewRequest};
 use crate::node::downstream::body_stream::{body_stream, ResponseStream, Upload};
 use crate::node::downstream::connection_table::TrackedConnection;
-use crate::node::downstream::request_body::{BufferedBody, IncomingUpload};
+use crate::node::downstream::request_body::{BufferedBody, IncomingUpload, UploadError};
 use crate::node::downstream::request_metadata::{
     remove_hop_by_hop_headers, sticky_key, RequestMetadata,
 };
@@ -23,12 +24,16 @@
 };
 use crate::node::downstream::server::ServerState;
 use crate::node::downstream::shutdown::Phase;
+use crate::node::memory::{LONG_HEAD_BYTES, MAX_UNRESERVED_HEADERS};
 use crate::node::upstream::response::MAX_STREAMED_BODY_BYTES;
 use crate::node::upstream::{RequestBody, UpstreamRequest};
 
 /// `Retry-After` for a request that is rejected because too few connections are free. By then some responses are complete,
 /// and their connections are idle.
 const FREE_CONNECTION_RETRY_MS: f64 = 50.0;
+/// `Retry-After` for a request that is rejected because no memory for its body became free: by then some of the requests
+/// that hold it have ended.
+const FREE_MEMORY_RETRY_MS: f64 = 250.0;
 
 /// Handles one request. Dropping the future abandons the request and its attempts.
 pub(super) async fn handle_request(
@@ -81,10 +86,14 @@
     state: &ServerState,
     connection: &Rc<TrackedConnection>,
 ) -> Result<Response<ResponseStream>, InvalidRequest> {
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    if !reserve_head_memory(&head, state, connection) {
+        return Ok(rejection_response(Some(FREE_MEMORY_RETRY_MS)));
+    }
+    detach_head(&mut head);
     let metadata = RequestMetadata::parse(&head.method, &head.headers, &state.dispatcher.names)?;
     let in_flight = state.dispatcher.metrics.begin_request(metadata.class);
-    let response = match dispatch(metadata, head, body, state).await {
+    let response = match dispatch(metadata, head, body, connection, state).await {
         Ok(FinalResponse::Served(served)) => {
             return Ok(forwarded_response(served, in_flight, connection))
         }
@@ -100,12 +109,42 @@
     response
 }
 
+/// Reserves memory for a head with many headers, unless the connection has it. Returns `false` if none is available.
+fn reserve_head_memory(
+    head: &Parts,
+    state: &ServerState,
+    connection: &Rc<TrackedConnection>,
+) -> bool {
+    if head.headers.len() <= MAX_UNRESERVED_HEADERS || connection.read_buffer_memory().is_some() {
+        return true;
+    }
+    let Some(reservation) = state.memory.heads.try_reserve(LONG_HEAD_BYTES) else {
+        return false;
+    };
+    connection.hold_read_buffer_memory(Rc::new(reservation));
+    true
+}
+
+/// Copies the parts of a head that are slices of the connection's read buffer, so that the request does not keep the whole
+/// buffer in memory while it is served.
+fn detach_head(head: &mut Parts) {
+    for value in head.headers.values_mut() {
+        if let Ok(copy) = HeaderValue::from_bytes(value.as_bytes()) {
+            *value = copy;
+        }
+    }
+    if let Ok(copy) = head.uri.to_string().parse() {
+        head.uri = copy;
+    }
+}
+
 /// Buffers as much of the body as the limits permit, passes the request to the dispatcher, and waits for the final response
 /// while the rest of the body is streamed.
 async fn dispatch(
     metadata: RequestMetadata,
     head: Parts,
     body: Incoming,
+    connection: &Rc<TrackedConnection>,
     state: &ServerState,
 ) -> Result<FinalResponse, InvalidRequest> {
     if body.size_hint().lower() > MAX_STREAMED_BODY_BYTES as u64 {
@@ -121,10 +160,20 @@
     let _open_id =
         OpenRequestId::reserve(&state.open_request_ids, id).ok_or(InvalidRequest::DUPLICATE_ID)?;
     let sticky_key = head.uri.query().and_then(sticky_key);
-    let mut upload = IncomingUpload::new(body, dispatcher.now_ms());
-    let buffered = upload.buffer(state).await?;
-    // The deadline counts from the last byte of the request; for a streamed body, `upload_completed` restarts it.
-    let received_at = Instant::now();
+    let head_memory = connection.read_buffer_memory();
+    let mut upload = IncomingUpload::new(body, dispatcher.now_ms(), deadline);
+    let buffered = match upload.buffer(connection, state).await {
+        Ok(buffered) => buffered,
+        Err(UploadError::Invalid(invalid)) => return Err(invalid),
+        Err(UploadError::MemoryExhausted) => {
+            return Ok(FinalResponse::Rejected {
+                retry_after_ms: Some(FREE_MEMORY_RETRY_MS),
+            })
+        }
+    };
+    // The deadline counts from the last byte of the request, which may have arrived while the node waited for memory; for
+    // a streamed body, `upload_completed` restarts it.
+    let received_at = Instant::now() - upload.memory_wait();
     if must_keep_connections_free(state) {
         return Ok(FinalResponse::Rejected {
             retry_after_ms: Some(FREE_CONNECTION_RETRY_MS),
@@ -132,13 +181,14 @@
     }
     let (body, upload_sender) = match buffered {
         BufferedBody::Complete(body) => (RequestBody::Buffered(body), None),
-        BufferedBody::Prefix(prefix) => {
+        BufferedBody::Prefix(prefix, reservation) => {
             let (sender, rest) = body_stream(upload.remaining_bytes());
-            let body = RequestBody::Streamed(Upload::new(prefix, rest));
+            let body = RequestBody::Streamed(Upload::new(prefix, rest, reservation));
             (body, Some(sender))
         }
     };
-    let message = upstream_request(head, body, dispatcher.metrics.attempts(class).clone());
+    let sent_attempts = dispatcher.metrics.attempts(class).clone();
+    let message = upstream_request(head, body, head_memory, sent_attempts);
     let new_request = NewRequest {
         class,
         tenant,
@@ -159,7 +209,7 @@
             streamed = upload.stream_to(sender, state) => streamed?,
         };
         if is_complete {
-            request.upload_completed(Instant::now());
+            request.upload_completed(Instant::now() - upload.memory_wait());
         }
     }
     Ok(request.response().await)
@@ -172,7 +222,12 @@
     is_draining && !state.options.is_listener_shared && state.table.has_few_free_connections()
 }
 
-fn upstream_request(head: Parts, body: RequestBody, sent_attempts: Counter) -> UpstreamRequest {
+fn upstream_request(
+    head: Parts,
+    body: RequestBody,
+    head_memory: Option<Rc<Reservation>>,
+    sent_attempts: Counter,
+) -> UpstreamRequest {
     let headers = remove_hop_by_hop_headers(head.headers);
     // A client may send the absolute form, with the host in the request line; the server gets only the path and query.
     let uri = head
@@ -187,5 +242,6 @@
         body,
         sent_attempts,
         send_deadline: Cell::default(),
+        head_memory,
     }
 }
--- a/src/node/downstream/response.rs
+++ b/src/node/downstream/response.rs
@@ -75,7 +75,8 @@
             in_flight.finish(outcome);
             ResponseStream::buffered(body)
         }
-        ResponseBody::Streamed(stream) => {
+        ResponseBody::Streamed(stream, reservation) => {
+            connection.hold_until_written(reservation);
             let connection = Rc::clone(connection);
             ResponseStream::streamed(stream, move |end| {
                 connection.set_streaming(false);
--- a/src/node/downstream/server.rs
+++ b/src/node/downstream/server.rs
@@ -1,6 +1,5 @@
 //! The server that accepts client connections: spawns a task for each, and returns once all of them are closed. Owns the
-//! state that the connections share: the connection table, the memory budget of uploads and the ids of the requests in
-//! progress.
+//! state that the connections share: the connection table and the ids of the requests in progress.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -10,19 +9,18 @@
 use std::time::{Duration, Instant};
 
 use admin::{ConnectionPolicy, Drain};
-use flow_control::MemoryBudget;
 use hyper::header::HeaderValue;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::node::admin::log;
-use crate::node::config::Limits;
 use crate::node::dispatcher::Dispatcher;
 use crate::node::downstream::connection;
 use crate::node::downstream::connection_table::ConnectionTable;
 pub use crate::node::downstream::shutdown::Phase;
 use crate::node::downstream::shutdown::{FINAL_WRITE_TIMEOUT, SHARED_ACCEPT_PERIOD};
+use crate::node::memory::NodeMemory;
 use crate::node::system_error::is_lost_connection;
 
 /// Maximum number of connections that are accepted from the kernel's backlog at shutdown: as many as it holds. The bound
@@ -44,21 +42,17 @@
     pub is_listener_shared: bool,
     /// Limit on open connections.
     pub max_connections: usize,
-    /// Limit on the bytes reserved for long request bodies that are buffered at a time, over all connections.
-    pub max_buffered_upload_bytes: usize,
 }
 
 impl ServerOptions {
     /// Creates options for a listening socket that only this process uses, without a drain.
     #[must_use]
     pub fn for_unshared_listener(phases: watch::Receiver<Phase>, max_connections: usize) -> Self {
-        let max_buffered_upload_bytes = Limits::default().buffered_upload_bytes();
         Self {
             phases,
             drain: Rc::default(),
             is_listener_shared: false,
             max_connections,
-            max_buffered_upload_bytes,
         }
     }
 }
@@ -68,7 +62,7 @@
     pub(super) dispatcher: Rc<Dispatcher>,
     pub(super) options: ServerOptions,
     pub(super) table: Rc<ConnectionTable>,
-    pub(super) upload_memory: MemoryBudget,
+    pub(super) memory: Rc<NodeMemory>,
     /// Ids of the requests that are being read or served.
     pub(super) open_request_ids: RefCell<HashSet<HeaderValue>>,
 }
@@ -80,8 +74,8 @@
 /// the tasks of open connections continue.
 pub async fn serve(listener: TcpListener, dispatcher: Rc<Dispatcher>, options: ServerOptions) {
     let state = Rc::new(ServerState {
+        memory: dispatcher.memory(),
         dispatcher,
-        upload_memory: MemoryBudget::new(options.max_buffered_upload_bytes),
         table: ConnectionTable::new(options.max_connections),
         options,
         open_request_ids: RefCell::default(),
--- a/src/node/downstream/shutdown.rs
+++ b/src/node/downstream/shutdown.rs
@@ -10,7 +10,7 @@
 
 use crate::node::downstream::connection_table::Stage;
 use crate::node::downstream::socket::Socket;
-use crate::node::upstream::response::MAX_UNRESERVED_BODY_BYTES;
+use crate::node::upstream::response::MAX_SHORT_BODY_BYTES;
 
 /// Time after the shutdown deadline in which responses that were produced just before it may still be written.
 pub const FINAL_WRITE_TIMEOUT: Duration = Duration::from_millis(50);
@@ -21,7 +21,9 @@
 pub(super) const SHARED_ACCEPT_PERIOD: Duration = Duration::from_millis(300);
 
 /// Maximum number of bytes that are read and discarded after the last response on a connection.
-const MAX_LINGER_BYTES: usize = 64 * MAX_UNRESERVED_BODY_BYTES;
+const MAX_LINGER_BYTES: usize = 64 * MAX_SHORT_BODY_BYTES;
+/// Size of the buffer for those bytes.
+const LINGER_BUFFER_BYTES: usize = 4 * 1024;
 /// Maximum time for which a connection is read after its last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -106,7 +108,9 @@
 
 async fn discard_input(mut socket: Socket) -> io::Result<()> {
     socket.shutdown().await?;
-    let (mut buffer, mut remaining) = ([0; 4096], MAX_LINGER_BYTES);
+    // On the heap: each connection's task has the size of its largest state.
+    let mut buffer = vec![0; LINGER_BUFFER_BYTES];
+    let mut remaining = MAX_LINGER_BYTES;
     loop {
         let read = socket.read(&mut buffer).await?;
         remaining = remaining.saturating_sub(read);
--- a/src/node/downstream/socket.rs
+++ b/src/node/downstream/socket.rs
@@ -1,7 +1,7 @@
 //! A client's socket. It reports received bytes to the connection's framing, reports received and written bytes to the
 //! connection's entry in the table, and detects that the client has disconnected while a request is being served.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::{pin, Pin};
@@ -17,17 +17,32 @@
 
 use crate::node::downstream::connection_table::{ConnectionGuard, Stage, TrackedConnection};
 use crate::node::downstream::framing::Framing;
-use crate::node::level_triggered::LevelTriggered;
+use crate::node::level_triggered::{poll_read_limited, LevelTriggered};
+use crate::node::memory::{NodeMemory, LONG_HEAD_BYTES, MAX_READ_BYTES};
 use crate::node::system_error::uninterrupted;
 
 /// Limit on the bytes that are read ahead of hyper, which does not notice that a client has disconnected while it holds
 /// bytes of the next request. Clients normally send one request at a time. For a client that sends more than this limit,
 /// the socket's state is polled instead of reading from it.
-const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+const MAX_READ_AHEAD_BYTES: usize = 4 * 1024;
+/// The limit for a connection on which large reads are allowed.
+const MAX_LARGE_READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Interval at which the socket of a client that has sent more than [`MAX_READ_AHEAD_BYTES`] is polled: no attempt may begin
 /// for a client that disconnected 100 ms ago.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// No memory for a long head is available.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct HeadMemoryExhausted;
+
+impl std::fmt::Display for HeadMemoryExhausted {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("no memory for a long head is available")
+    }
+}
+
+impl std::error::Error for HeadMemoryExhausted {}
+
 /// A client's socket. hyper and the connection's task each hold a clone, so that the socket outlives hyper's use of it.
 #[derive(Clone)]
 pub struct Socket {
@@ -36,6 +51,10 @@
     read_ahead: Rc<RefCell<BytesMut>>,
     /// Framing of the messages that have been received.
     pub framing: Rc<RefCell<Framing>>,
+    memory: Rc<NodeMemory>,
+    /// Number of bytes that have been received of the current head and of what came with it.
+    head_bytes: Rc<Cell<usize>>,
+    is_head_refused: Rc<Cell<bool>>,
     /// The connection's entry in the table.
     pub connection: Rc<TrackedConnection>,
     /// Holds the connection's slot in the table.
@@ -45,8 +64,11 @@
 impl Socket {
     /// Creates the socket of a connection that has just been accepted.
     #[must_use]
-    pub fn new(stream: TcpStream, guard: ConnectionGuard) -> Self {
+    pub fn new(stream: TcpStream, guard: ConnectionGuard, memory: Rc<NodeMemory>) -> Self {
         Self {
+            memory,
+            head_bytes: Rc::default(),
+            is_head_refused: Rc::default(),
             stream: Rc::new(RefCell::new(LevelTriggered::new(stream))),
             read_ahead: Rc::default(),
             framing: Rc::default(),
@@ -94,9 +116,15 @@
         next_poll: &mut Option<Pin<Box<Sleep>>>,
     ) -> Poll<()> {
         let (mut read_ahead, mut stream) = (self.read_ahead.borrow_mut(), self.stream.borrow_mut());
-        while read_ahead.len() < MAX_READ_AHEAD_BYTES {
-            let mut storage = [0; 4096];
-            let mut buffer = ReadBuf::new(&mut storage);
+        let max_bytes = if self.connection.has_large_reads() {
+            MAX_LARGE_READ_AHEAD_BYTES
+        } else {
+            MAX_READ_AHEAD_BYTES
+        };
+        while read_ahead.len() < max_bytes {
+            let mut storage = [0; MAX_READ_AHEAD_BYTES];
+            let free_bytes = (max_bytes - read_ahead.len()).min(MAX_READ_AHEAD_BYTES);
+            let mut buffer = ReadBuf::new(&mut storage[..free_bytes]);
             match ready!(Pin::new(&mut *stream).poll_read(cx, &mut buffer)) {
                 Ok(()) if !buffer.filled().is_empty() => {
                     read_ahead.extend_from_slice(buffer.filled());
@@ -131,13 +159,60 @@
     ) -> Poll<io::Result<()>> {
         let mut read_ahead = self.read_ahead.borrow_mut();
         if read_ahead.is_empty() {
-            return Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
+            let mut stream = self.stream.borrow_mut();
+            let stream = Pin::new(&mut *stream);
+            return if self.connection.has_large_reads() {
+                stream.poll_read(cx, buf)
+            } else {
+                poll_read_limited(stream, cx, buf)
+            };
         }
         let bytes = read_ahead.len().min(buf.remaining());
         buf.put_slice(&read_ahead[..bytes]);
         read_ahead.advance(bytes);
+        if read_ahead.is_empty() {
+            *read_ahead = BytesMut::new();
+        }
         Poll::Ready(Ok(()))
     }
+
+    /// Reserves memory before a head is read beyond [`MAX_READ_BYTES`]. Returns an error, which ends the connection, if the
+    /// budget is exhausted.
+    fn reserve_head_memory(&self) -> io::Result<()> {
+        let is_long = self.is_receiving_head() && self.head_bytes.get() >= MAX_READ_BYTES;
+        if !is_long || self.connection.read_buffer_memory().is_some() {
+            return Ok(());
+        }
+        let Some(reservation) = self.memory.heads.try_reserve(LONG_HEAD_BYTES) else {
+            self.is_head_refused.set(true);
+            return Err(io::Error::other(HeadMemoryExhausted));
+        };
+        self.connection
+            .hold_read_buffer_memory(Rc::new(reservation));
+        Ok(())
+    }
+
+    /// Counts the bytes of the head that is being received.
+    fn record_head_bytes(&self, bytes: usize) {
+        let previous_bytes = if self.is_receiving_head() {
+            self.head_bytes.get()
+        } else {
+            0
+        };
+        self.head_bytes.set(previous_bytes + bytes);
+    }
+
+    fn is_receiving_head(&self) -> bool {
+        matches!(
+            self.connection.stage(),
+            Stage::New | Stage::Idle | Stage::ReceivingHead
+        )
+    }
+
+    /// Returns whether the connection ended because no memory for a long head was available.
+    pub fn is_head_refused(&self) -> bool {
+        self.is_head_refused.get()
+    }
 }
 
 impl AsyncRead for Socket {
@@ -146,10 +221,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.reserve_head_memory()?;
         let before = buf.filled().len();
         let result = self.poll_read_buffered(cx, buf);
         let read = &buf.filled()[before..];
         if !read.is_empty() {
+            self.record_head_bytes(read.len());
             self.framing.borrow_mut().push(read);
             self.connection.record_received();
         }
--- a/src/node/level_triggered.rs
+++ b/src/node/level_triggered.rs
@@ -6,12 +6,15 @@
 //! until the call itself reports that it would block, whatever the lengths that it returns, and repeats interrupted calls.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpStream, UnixStream};
 
+use crate::node::memory::MAX_READ_BYTES;
+
 /// A socket with calls that do not wait, and with waits for its readiness.
 pub trait Readiness: AsyncWrite + Unpin {
     /// Waits until the socket may be readable.
@@ -84,6 +87,21 @@
     }
 }
 
+/// Polls a read of at most [`MAX_READ_BYTES`]. The bytes pass through a buffer on the stack, so only as much of `buf` is
+/// written to as has been received.
+pub fn poll_read_limited(
+    stream: Pin<&mut impl AsyncRead>,
+    cx: &mut Context<'_>,
+    buf: &mut ReadBuf<'_>,
+) -> Poll<io::Result<()>> {
+    let mut storage = [MaybeUninit::uninit(); MAX_READ_BYTES];
+    let max_bytes = buf.remaining().min(MAX_READ_BYTES);
+    let mut limited = ReadBuf::uninit(&mut storage[..max_bytes]);
+    ready!(stream.poll_read(cx, &mut limited))?;
+    buf.put_slice(limited.filled());
+    Poll::Ready(Ok(()))
+}
+
 /// Whether a call that failed is repeated: it was interrupted, or has to wait for readiness first.
 fn is_repeated<T>(result: &io::Result<T>) -> bool {
     let error = result.as_ref().err();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,6 +14,7 @@
 pub mod dispatcher;
 pub mod downstream;
 mod level_triggered;
+pub mod memory;
 mod shutdown;
 mod start_times;
 mod system_error;
@@ -146,7 +147,6 @@
     let (phase_sender, phases) = watch::channel(Phase::Serving);
     let server_options = ServerOptions {
         is_listener_shared: is_shared,
-        max_buffered_upload_bytes: config.limits.buffered_upload_bytes(),
         ..ServerOptions::for_unshared_listener(phases, config.limits.client_connections())
     };
     if let Some(address) = config.admin_listen {
--- a/src/node/upstream/http1/connection.rs
+++ b/src/node/upstream/http1/connection.rs
@@ -5,7 +5,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use balancer::AttemptResult;
 use flow_control::response_stall_timeout_ms;
@@ -91,13 +91,14 @@
         mut self,
         exchange: Exchange<'_>,
     ) -> Result<AttemptOutcome, ExchangeError> {
+        let started = Instant::now();
         let remaining_ms = exchange.remaining.as_secs_f64() * 1e3;
         let stall_timeout = Duration::from_secs_f64(response_stall_timeout_ms(remaining_ms) / 1e3);
         let sent = self.send(exchange, stall_timeout).await;
         let error = match sent {
             Ok(response) if self.progress.bytes_sent() == BytesSent::Complete => {
                 return Ok(self
-                    .read_response(response, stall_timeout, exchange.on_streamed_response)
+                    .read_response(response, stall_timeout, exchange, started)
                     .await);
             }
             Ok(response) => match early_outcome(&response) {
@@ -119,7 +120,8 @@
         exchange: Exchange<'_>,
         stall_timeout: Duration,
     ) -> Result<Response<Incoming>, ConnectionError> {
-        self.progress.begin(&exchange.request.sent_attempts);
+        self.progress
+            .begin(&exchange.request.sent_attempts, &exchange.memory.heads);
         let body = AttemptBody::new(exchange.request, &self.progress);
         let send_stall_timeout = if body.is_buffered() {
             stall_timeout.max(MIN_SEND_STALL_TIMEOUT)
@@ -131,6 +133,7 @@
         tokio::select! {
             biased;
             response = drive(&mut self.connection, &self.progress, response) => {
+                self.progress.record_head_complete();
                 response.map_err(|error| {
                     if error.is_parse() || self.progress.exceeds_response_limit() {
                         log::line(format_args!("malformed response from a server: {error}"));
--- a/src/node/upstream/http1/metered.rs
+++ b/src/node/upstream/http1/metered.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::progress::ExchangeProgress;
+use crate::node::level_triggered::poll_read_limited;
 use crate::node::upstream::stream::{PendingInput, Stream};
 
 /// The connection was closed, or received bytes, before the last byte of its request was written.
@@ -82,7 +83,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let has_large_reads = self.progress.has_large_reads();
+        let stream = Pin::new(&mut self.stream);
+        let result = if has_large_reads {
+            stream.poll_read(cx, buf)
+        } else {
+            poll_read_limited(stream, cx, buf)
+        };
         let read = &buf.filled()[filled_before..];
         if !read.is_empty() {
             self.progress.record_read(read).map_err(io::Error::other)?;
--- a/src/node/upstream/http1/metered/tests.rs
+++ b/src/node/upstream/http1/metered/tests.rs
@@ -4,6 +4,7 @@
 use std::task::Waker;
 
 use admin::Counter;
+use flow_control::MemoryBudget;
 use pool::{Address, BytesSent};
 
 /// A stream whose request has not begun, and the server's end of its connection.
@@ -15,7 +16,9 @@
         .expect("connect to the listener");
     let (server, _) = listener.accept().expect("accept the connection");
     let metered = MeteredStream::new(stream, Rc::default());
-    metered.progress.begin(&Counter::default());
+    metered
+        .progress
+        .begin(&Counter::default(), &MemoryBudget::new(0));
     (metered, server)
 }
 
--- a/src/node/upstream/http1/progress.rs
+++ b/src/node/upstream/http1/progress.rs
@@ -6,13 +6,15 @@
 use std::time::Duration;
 
 use admin::Counter;
+use flow_control::{MemoryBudget, Reservation};
 use pool::{BytesSent, ConnectionError};
 use tokio::sync::Notify;
 
-use crate::node::upstream::response::MAX_UNRESERVED_BODY_BYTES;
+use crate::node::memory::{LONG_HEAD_BYTES, MAX_READ_BYTES};
+use crate::node::upstream::response::MAX_SHORT_BODY_BYTES;
 
 /// Maximum number of bytes received for a buffered response: its head, its body and the 1xx responses before it.
-const MAX_BUFFERED_RESPONSE_WIRE_BYTES: usize = 4 * MAX_UNRESERVED_BODY_BYTES;
+const MAX_BUFFERED_RESPONSE_WIRE_BYTES: usize = 4 * MAX_SHORT_BODY_BYTES;
 /// Minimum time without progress after which sending a buffered request counts as stalled: TCP can retransmit two
 /// lost packets within it. A request whose last byte has not been sent has not run, and may be sent to another
 /// address.
@@ -45,10 +47,15 @@
     is_sent: Cell<bool>,
     /// Whether the last write could not proceed because the server's receive window is full.
     is_write_blocked: Cell<bool>,
+    /// The budget from which memory for a long response head is reserved, until the head is complete.
+    head_budget: RefCell<Option<MemoryBudget>>,
+    head_memory: RefCell<Option<Reservation>>,
     /// Counter of requests that have been sent completely.
     sent_attempts: RefCell<Counter>,
     /// Notified when anything is written, received or blocked.
     changed: Notify,
+    /// Whether the memory for reads of more than [`MAX_READ_BYTES`] has been reserved.
+    has_large_reads: Cell<bool>,
     /// Number of bytes that the current response may have beyond [`MAX_BUFFERED_RESPONSE_WIRE_BYTES`]; 0 unless
     /// it is chunked or streamed.
     additional_bytes: Cell<usize>,
@@ -58,8 +65,11 @@
 
 impl ExchangeProgress {
     /// Prepares the progress for the connection's request. Unsolicited bytes stay recorded.
-    pub fn begin(&self, sent_attempts: &Counter) {
+    ///
+    /// Memory for a long response head is reserved from `head_budget`.
+    pub fn begin(&self, sent_attempts: &Counter, head_budget: &MemoryBudget) {
         self.sent_attempts.replace(sent_attempts.clone());
+        self.head_budget.replace(Some(head_budget.clone()));
         self.written_bytes.set(0);
         self.is_sent.set(false);
         self.is_end_withheld.set(false);
@@ -114,11 +124,40 @@
         self.has_unsolicited_bytes.set(true);
     }
 
+    /// Allows reads as large as hyper's read buffer may become.
+    pub fn allow_large_reads(&self) {
+        self.has_large_reads.set(true);
+    }
+
+    /// Whether reads may exceed [`MAX_READ_BYTES`].
+    pub fn has_large_reads(&self) -> bool {
+        self.has_large_reads.get()
+    }
+
+    /// Records that the response head is complete.
+    pub fn record_head_complete(&self) {
+        self.head_budget.take();
+    }
+
+    /// Reserves memory for a response head that exceeds [`MAX_READ_BYTES`]. Returns `false` if none is available. It is
+    /// held until the connection is closed, since its read buffer keeps its size.
+    fn reserve_head_memory(&self) -> bool {
+        if self.read_bytes.get() <= MAX_READ_BYTES || self.head_memory.borrow().is_some() {
+            return true;
+        }
+        let Some(budget) = &*self.head_budget.borrow() else {
+            return true;
+        };
+        self.head_memory
+            .replace(budget.try_reserve(LONG_HEAD_BYTES));
+        self.head_memory.borrow().is_some()
+    }
+
     /// Records received bytes.
     ///
     /// # Errors
     ///
-    /// The response exceeds its size limit.
+    /// The response exceeds its size limit, or no memory for its long head is available.
     pub fn record_read(&self, bytes: &[u8]) -> Result<(), ResponseLimitExceeded> {
         self.read_bytes.set(self.read_bytes.get() + bytes.len());
         let mut tail = self.tail.get();
@@ -129,7 +168,7 @@
         self.tail.set(tail);
         self.changed.notify_one();
         let limit = MAX_BUFFERED_RESPONSE_WIRE_BYTES + self.additional_bytes.get();
-        if self.read_bytes.get() > limit {
+        if self.read_bytes.get() > limit || !self.reserve_head_memory() {
             self.exceeds_response_limit.set(true);
             return Err(ResponseLimitExceeded);
         }
--- a/src/node/upstream/http1/progress/tests.rs
+++ b/src/node/upstream/http1/progress/tests.rs
@@ -14,7 +14,7 @@
 #[tokio::test(start_paused = true)]
 async fn stalled_request_and_stalled_head_are_detected() {
     let progress = ExchangeProgress::default();
-    progress.begin(&Counter::default());
+    progress.begin(&Counter::default(), &MemoryBudget::new(0));
     progress.set_end_withheld(true);
     progress.record_written(10, 10);
     let wait = tokio::time::timeout(LONG_WAIT, next_stall(&progress));
--- a/src/node/upstream/http1/request_body/tests.rs
+++ b/src/node/upstream/http1/request_body/tests.rs
@@ -2,6 +2,7 @@
 use std::cell::Cell;
 
 use admin::Counter;
+use flow_control::MemoryBudget;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method, Uri};
 use pool::BytesSent;
@@ -16,6 +17,7 @@
         body,
         sent_attempts: Counter::default(),
         send_deadline: Cell::default(),
+        head_memory: None,
     })
 }
 
@@ -25,9 +27,11 @@
     rest_bytes: Option<u64>,
 ) -> (AttemptBody, Rc<ExchangeProgress>, BodySender) {
     let (sender, rest) = body_stream(rest_bytes);
-    let upload = Upload::new(Bytes::from_static(prefix), rest);
+    let memory = MemoryBudget::new(1);
+    let reservation = memory.try_reserve(1).expect("the budget is unused");
+    let upload = Upload::new(Bytes::from_static(prefix), rest, Rc::new(reservation));
     let progress = Rc::<ExchangeProgress>::default();
-    progress.begin(&Counter::default());
+    progress.begin(&Counter::default(), &MemoryBudget::new(0));
     let body = AttemptBody::new(&request(RequestBody::Streamed(upload)), &progress);
     (body, progress, sender)
 }
@@ -80,7 +84,7 @@
 #[test]
 fn request_counts_as_sent_unless_its_body_withholds_the_end() {
     let progress = ExchangeProgress::default();
-    progress.begin(&Counter::default());
+    progress.begin(&Counter::default(), &MemoryBudget::new(0));
     assert_eq!(progress.bytes_sent(), BytesSent::None);
     assert_eq!(sent_after_write(&progress), BytesSent::Complete);
 }
@@ -89,7 +93,7 @@
 #[tokio::test]
 async fn partly_accepted_write_is_no_complete_request() {
     let progress = Rc::<ExchangeProgress>::default();
-    progress.begin(&Counter::default());
+    progress.begin(&Counter::default(), &MemoryBudget::new(0));
     let body = RequestBody::Buffered(Bytes::from_static(b"body"));
     let mut body = AttemptBody::new(&request(body), &progress);
     assert_eq!(next_frame(&mut body).await, 4);
--- a/src/node/upstream/http1/response_reader.rs
+++ b/src/node/upstream/http1/response_reader.rs
@@ -1,10 +1,12 @@
 //! Reads responses: short bodies are buffered, long ones are streamed to the client as they arrive.
 
+use std::cell::Cell;
+use std::future::Future;
 use std::time::{Duration, Instant};
 
 use balancer::{AttemptResult, LoadReport};
-use bytes::{Bytes, BytesMut};
-use flow_control::TransferDeadline;
+use bytes::Bytes;
+use flow_control::{Reservation, TransferDeadline};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, CONNECTION, CONTENT_TYPE, TRANSFER_ENCODING};
@@ -15,43 +17,71 @@
 use super::connection::Http1Connection;
 use crate::node::admin::log;
 use crate::node::downstream::body_stream::{body_stream, BodyReceiver, BodySender, StreamError};
+use crate::node::memory::{
+    try_reserve_large_chunks, NodeMemory, MAX_UNRESERVED_BYTES, STREAM_BYTES,
+};
 use crate::node::upstream::response::{
-    attempt_result, decode_load_report, MAX_STREAMED_BODY_BYTES, MAX_UNRESERVED_BODY_BYTES,
+    attempt_result, decode_load_report, MAX_SHORT_BODY_BYTES, MAX_STREAMED_BODY_BYTES,
 };
-use crate::node::upstream::{AttemptOutcome, ResponseBody, UpstreamResponse};
+use crate::node::upstream::{AttemptOutcome, Exchange, ResponseBody, UpstreamResponse};
 
 /// Maximum time without progress of a streamed response or upload. No other server can continue it, so this is far
 /// longer than the timeout of an exchange that can be retried.
 pub(super) const STREAMING_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time before the deadline of a request at which its response stops waiting for memory: an attempt that times out counts
+/// against its server.
+const MEMORY_WAIT_MARGIN: Duration = Duration::from_millis(20);
 /// Size on the wire of a chunk with one byte of data (`1\r\nx\r\n`), the largest overhead of the chunked coding.
 const WIRE_BYTES_PER_CHUNKED_BYTE: usize = 6;
 
+/// The budgets for a response, and the time by which memory must be available. No other server can give the response, so it
+/// waits for nearly as long as its client.
+#[derive(Clone, Copy)]
+struct ResponseMemory<'a> {
+    budgets: &'a NodeMemory,
+    deadline: Instant,
+    /// The time spent waiting.
+    waited: &'a Cell<Duration>,
+}
+
 impl Http1Connection {
     /// Reads a response whose head has arrived.
     pub(super) async fn read_response(
         &mut self,
         response: Response<Incoming>,
         stall_timeout: Duration,
-        on_streamed_response: &dyn Fn(UpstreamResponse),
+        exchange: Exchange<'_>,
+        exchange_started: Instant,
     ) -> AttemptOutcome {
         let (head, body) = response.into_parts();
         let report = load_report(&head.headers);
         let is_rejected = declines(&head.headers);
         let result = attempt_result(head.status, is_rejected);
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
+        let memory_wait = Cell::new(Duration::ZERO);
         let response = |body| UpstreamResponse {
             status: head.status,
             body,
             content_type: content_type.clone(),
+            memory_wait: memory_wait.get(),
         };
-        let stream_to_client = |body| on_streamed_response(response(ResponseBody::Streamed(body)));
-        let on_streamed_body: Option<&dyn Fn(BodyReceiver)> = if result == AttemptResult::Served {
-            Some(&stream_to_client)
-        } else {
-            None
+        let stream_to_client = |body, reservation| {
+            let body = ResponseBody::Streamed(body, reservation);
+            (exchange.on_streamed_response)(response(body));
+        };
+        let on_streamed_body: Option<&dyn Fn(BodyReceiver, Reservation)> =
+            if result == AttemptResult::Served {
+                Some(&stream_to_client)
+            } else {
+                None
+            };
+        let memory = ResponseMemory {
+            budgets: exchange.memory,
+            deadline: exchange_started + exchange.remaining.saturating_sub(MEMORY_WAIT_MARGIN),
+            waited: &memory_wait,
         };
         let body = self
-            .read_body(&head, body, stall_timeout, on_streamed_body)
+            .read_body(&head, body, stall_timeout, memory, on_streamed_body)
             .await;
         let (result, body) = result_with_body(result, body);
         AttemptOutcome {
@@ -70,7 +100,8 @@
         head: &Parts,
         mut body: Incoming,
         stall_timeout: Duration,
-        on_streamed_body: Option<&dyn Fn(BodyReceiver)>,
+        memory: ResponseMemory<'_>,
+        on_streamed_body: Option<&dyn Fn(BodyReceiver, Reservation)>,
     ) -> Result<Option<Bytes>, StreamError> {
         let content_length = body.size_hint().exact();
         let is_chunked = head.headers.contains_key(TRANSFER_ENCODING);
@@ -81,23 +112,29 @@
         }
         if is_chunked {
             self.progress
-                .allow_additional_bytes(WIRE_BYTES_PER_CHUNKED_BYTE * MAX_UNRESERVED_BODY_BYTES);
+                .allow_additional_bytes(WIRE_BYTES_PER_CHUNKED_BYTE * MAX_SHORT_BODY_BYTES);
         }
-        let is_long = content_length.is_some_and(|len| len > MAX_UNRESERVED_BODY_BYTES as u64);
+        let is_long = content_length.is_some_and(|len| len > MAX_SHORT_BODY_BYTES as u64);
         let mut buffered = BufferedBody::default();
         loop {
             let Some(chunk) = self.next_chunk(&mut body, stall_timeout).await? else {
-                return Ok(Some(buffered.take()));
+                return Ok(Some(buffered.freeze()));
             };
-            if !is_long && buffered.len() + chunk.len() <= MAX_UNRESERVED_BODY_BYTES {
-                buffered.push(chunk);
+            let required = buffered.bytes.len() + chunk.len();
+            if !is_long && required <= MAX_SHORT_BODY_BYTES {
+                if required > buffered.bytes.capacity() {
+                    let reserving = buffered.make_room(required, content_length, memory.budgets);
+                    self.reserve(memory, reserving).await?;
+                }
+                buffered.bytes.extend_from_slice(&chunk);
                 continue;
             }
             let on_streamed_body = on_streamed_body
                 .ok_or(StreamError::Connection(ConnectionError::InvalidResponse))?;
+            let reservation = self.reserve_stream(memory).await?;
             let (sender, streamed) = body_stream(content_length);
-            on_streamed_body(streamed);
-            let received = [buffered.take(), chunk];
+            on_streamed_body(streamed, reservation);
+            let received = [buffered.freeze(), chunk];
             return self
                 .stream_body(sender, received, body)
                 .await
@@ -105,6 +142,32 @@
         }
     }
 
+    /// Reserves the memory of a streamed body.
+    async fn reserve_stream(
+        &mut self,
+        memory: ResponseMemory<'_>,
+    ) -> Result<Reservation, StreamError> {
+        let budget = &memory.budgets.streamed_responses;
+        if let Some(reservation) = try_reserve_large_chunks(budget) {
+            self.progress.allow_large_reads();
+            return Ok(reservation);
+        }
+        self.reserve(memory, budget.reserve(STREAM_BYTES)).await
+    }
+
+    /// Waits for a reservation while driving the connection.
+    async fn reserve<T>(
+        &mut self,
+        memory: ResponseMemory<'_>,
+        reserving: impl Future<Output = Option<T>>,
+    ) -> Result<T, StreamError> {
+        let started = Instant::now();
+        let reserving = tokio::time::timeout_at(memory.deadline.into(), reserving);
+        let reserved = self.drive(reserving).await;
+        memory.waited.set(memory.waited.get() + started.elapsed());
+        reserved.ok().flatten().ok_or(StreamError::MemoryExhausted)
+    }
+
     /// Streams a body whose first chunks have been received.
     async fn stream_body(
         &mut self,
@@ -202,7 +265,10 @@
         (AttemptResult::Served, Err(StreamError::Connection(_))) => {
             (AttemptResult::Malformed, None)
         }
-        (AttemptResult::Served, Err(StreamError::ReceiverGone)) => (AttemptResult::Cancelled, None),
+        // Not a fault of the server; the request may have run.
+        (AttemptResult::Served, Err(StreamError::ReceiverGone | StreamError::MemoryExhausted)) => {
+            (AttemptResult::Cancelled, None)
+        }
         (AttemptResult::Served, Ok(body)) => (AttemptResult::Served, body),
         (AttemptResult::ClientError, body) => (
             AttemptResult::ClientError,
@@ -212,37 +278,44 @@
     }
 }
 
-/// The buffered part of a body. A body that arrives as a single chunk is not copied.
+/// The buffered part of a body, whose memory beyond [`MAX_UNRESERVED_BYTES`] is reserved.
 #[derive(Default)]
 struct BufferedBody {
-    /// The first chunk, while it is the only one.
-    first: Bytes,
-    /// All chunks, once there is more than one.
-    joined: BytesMut,
+    bytes: Vec<u8>,
+    reservation: Option<Reservation>,
 }
 
 impl BufferedBody {
-    fn len(&self) -> usize {
-        self.first.len().max(self.joined.len())
-    }
-
-    fn push(&mut self, chunk: Bytes) {
-        if self.len() == 0 {
-            self.first = chunk;
-            return;
-        }
-        if self.joined.is_empty() {
-            self.joined
-                .extend_from_slice(&std::mem::take(&mut self.first));
+    /// Reserves and allocates memory for `required` bytes and those that are announced, or that may follow. `None` if they
+    /// exceed the whole budget. All of it is reserved at once: a response that waits for memory holds none.
+    async fn make_room(
+        &mut self,
+        required: usize,
+        content_length: Option<u64>,
+        memory: &NodeMemory,
+    ) -> Option<()> {
+        let capacity = match content_length {
+            Some(length) => required.max(length as usize),
+            None if required <= MAX_UNRESERVED_BYTES => MAX_UNRESERVED_BYTES,
+            None => MAX_SHORT_BODY_BYTES,
+        };
+        if capacity > MAX_UNRESERVED_BYTES {
+            self.reservation = Some(memory.responses.reserve(capacity).await?);
         }
-        self.joined.extend_from_slice(&chunk);
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        Some(())
     }
 
-    fn take(&mut self) -> Bytes {
-        if self.joined.is_empty() {
-            std::mem::take(&mut self.first)
-        } else {
-            std::mem::take(&mut self.joined).freeze()
+    /// Returns the buffered bytes. The reservation is released with the last reference to them.
+    fn freeze(mut self) -> Bytes {
+        self.bytes.shrink_to_fit();
+        if let Some(reservation) = &mut self.reservation {
+            reservation.shrink_to(self.bytes.len());
+        }
+        let bytes = Bytes::from(self.bytes);
+        match self.reservation {
+            Some(reservation) => reservation.attach_to(bytes),
+            None => bytes,
         }
     }
 }
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -20,11 +20,13 @@
 
 use admin::Counter;
 use bytes::Bytes;
+use flow_control::Reservation;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode, Uri};
 use pool::{Address, BytesSent, CloseReason, ConnectionError};
 
 use crate::node::downstream::body_stream::{BodyReceiver, Upload};
+use crate::node::memory::NodeMemory;
 use balancer::{AttemptResult, LoadReport};
 use stream::Stream;
 
@@ -43,6 +45,8 @@
     pub sent_attempts: Counter,
     /// The time from which on no attempt may start to send the request; `None` without a limit.
     pub send_deadline: Cell<Option<Instant>>,
+    /// The reservation of a long head, which the client's connection shares.
+    pub head_memory: Option<Rc<Reservation>>,
 }
 
 /// The body of a request.
@@ -86,6 +90,8 @@
     pub body: ResponseBody,
     /// The `Content-Type`, if the server sent one.
     pub content_type: Option<HeaderValue>,
+    /// Time that the response waited for memory of the node, which is no part of the server's latency.
+    pub memory_wait: Duration,
 }
 
 /// The body of a response.
@@ -93,8 +99,9 @@
 pub enum ResponseBody {
     /// Received completely.
     Buffered(Bytes),
-    /// Forwarded chunk by chunk while it is received.
-    Streamed(BodyReceiver),
+    /// Forwarded chunk by chunk while it is received. The reservation is held until the last byte has been written to
+    /// the client.
+    Streamed(BodyReceiver, Reservation),
 }
 
 /// The outcome of an attempt.
@@ -150,6 +157,8 @@
     pub request: &'a Rc<UpstreamRequest>,
     /// The time left for the request, sent to the server as `Req-Deadline`.
     pub remaining: Duration,
+    /// The budgets from which memory for the response is reserved.
+    pub memory: &'a NodeMemory,
     /// Called with a response that is too long to be buffered. Its body is forwarded only while the exchange is polled.
     pub on_streamed_response: &'a dyn Fn(UpstreamResponse),
 }
--- a/src/node/upstream/response.rs
+++ b/src/node/upstream/response.rs
@@ -6,8 +6,8 @@
 use crate::node::admin::log;
 use balancer::{AttemptResult, LoadReport};
 
-/// Maximum size of a body that is buffered without a reservation from the memory budget; a longer response is streamed.
-pub const MAX_UNRESERVED_BODY_BYTES: usize = 64 * 1024;
+/// Maximum size of a short body, which is always buffered; a longer response is streamed.
+pub const MAX_SHORT_BODY_BYTES: usize = 64 * 1024;
 /// Maximum size of a request body that is buffered, so that it can be sent again. A longer one is streamed.
 pub const MAX_BUFFERED_REQUEST_BYTES: usize = 256 * 1024;
 /// Maximum size of a streamed body: 1.5 times the longest body that clients and servers send. A message that
--- a/src/node/upstream/servers.rs
+++ b/src/node/upstream/servers.rs
@@ -25,6 +25,7 @@
 
 use crate::node::clock::{Clock, Timer};
 use crate::node::config::Config;
+use crate::node::memory::NodeMemory;
 use crate::node::start_times::StartTimes;
 use crate::node::upstream::addresses::{routes, ConfiguredAddresses};
 
@@ -69,6 +70,7 @@
     clock: Clock,
     metrics: Rc<UpstreamMetrics>,
     start_times: RefCell<StartTimes>,
+    memory: Rc<NodeMemory>,
 }
 
 /// Displays the name of a server.
@@ -129,9 +131,16 @@
             clock,
             metrics,
             start_times: RefCell::default(),
+            memory: Rc::new(NodeMemory::new(config.limits)),
         })
     }
 
+    /// The memory budgets of the node.
+    #[must_use]
+    pub fn memory(&self) -> Rc<NodeMemory> {
+        Rc::clone(&self.memory)
+    }
+
     fn now_ms(&self) -> f64 {
         self.clock.now_ms()
     }
--- a/src/node/upstream/servers/attempt.rs
+++ b/src/node/upstream/servers/attempt.rs
@@ -84,6 +84,7 @@
             let exchange = Exchange {
                 request: &request,
                 remaining: deadline - now,
+                memory: &self.memory,
                 on_streamed_response: &on_streamed_response,
             };
             match connection.exchange(exchange).await {
--- a/src/node/upstream/servers/tests.rs
+++ b/src/node/upstream/servers/tests.rs
@@ -17,6 +17,7 @@
         body: RequestBody::Buffered(Bytes::new()),
         sent_attempts: admin::Counter::default(),
         send_deadline: std::cell::Cell::default(),
+        head_memory: None,
     })
 }
 
