Closed connections release the memory of their read buffers and responses

What callers saw: after some long requests or heads, each on a connection of its own, further ones were rejected with 503 until other connections became idle.

The queues of idle connections, and the callback of a streamed response, may refer to the entry after the close.

Change: the guard of the connection's slot releases both when it is dropped.

Evidence: closed_connections_release_their_memory in tests/memory.rs failed before at one of the first 60 long heads and passes now.

--- a/src/node/downstream/connection_table.rs
+++ b/src/node/downstream/connection_table.rs
@@ -280,6 +280,8 @@
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
+        // The queues of idle connections may refer to the connection for longer.
+        self.connection.release_memory();
         if self.connection.request_count() > 0 {
             self.table
                 .used_connections
--- a/src/node/downstream/connection_table/tracked_connection.rs
+++ b/src/node/downstream/connection_table/tracked_connection.rs
@@ -149,6 +149,12 @@
         self.response_memory.take();
     }
 
+    /// Releases all memory of the connection, which has been closed.
+    pub(super) fn release_memory(&self) {
+        self.response_memory.take();
+        self.read_buffer_memory.take();
+    }
+
     /// Holds the memory of a read buffer that grows until the connection is closed.
     pub fn hold_read_buffer_memory(&self, reservation: Rc<Reservation>) {
         self.read_buffer_memory.replace(Some(reservation));
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -482,3 +482,35 @@
         .run(|node, answers| exchange(node, &request_with_body(200), answers));
     }
 }
+
+/// Guards against memory that stays reserved once its connection has been closed: after a number of long messages none
+/// would be served any more.
+#[test]
+fn closed_connections_release_their_memory() {
+    const MESSAGES_PER_KIND: usize = 60;
+    let limits = LIMITS[0];
+    let server = start_server(Duration::ZERO, 300 * KIB);
+    let (node, _discovery) = start_node(limits, &[server], 15_000);
+    let long_head = || {
+        let padding = format!("X-Padding: {}\r\n", "x".repeat(28 * KIB));
+        post_request(&next_id("heavy"), "pay", &padding, "").into_bytes()
+    };
+    let upload = || request_with_body(600 * KIB);
+    let kinds: [(&str, &dyn Fn() -> Vec<u8>); 2] = [("head", &long_head), ("upload", &upload)];
+    for (kind, request) in kinds {
+        for number in 0..MESSAGES_PER_KIND {
+            // Every second client reads its response; the others disconnect in the middle of it.
+            let mut stream = TcpStream::connect(node.address).expect("connect to the node");
+            stream.write_all(&request()).expect("write the request");
+            if number % 2 == 0 {
+                let response = Message::read(&mut BufReader::new(&stream));
+                let response = response.expect("read the whole response");
+                assert_eq!(response.status(), 200, "{kind} {number}");
+            } else {
+                stream
+                    .read_exact(&mut vec![0; 1_000])
+                    .expect("read the beginning of the response");
+            }
+        }
+    }
+}
