Memory trial of all uses together, with more clients than the node has slots

Uses of memory that are each bounded could exceed the limit together. The trial mixes long uploads, long heads, pipelined requests, bodies of 60 and 200 KiB and clients that disconnect, from three fifths as many clients as descriptors.

--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -511,3 +511,39 @@
         }
     }
 }
+
+/// Guards against uses of memory that are each bounded and together exceed the limit. More clients connect than the node
+/// has slots for.
+#[test]
+fn all_uses_of_memory_together_stay_under_the_limit() {
+    for limits in LIMITS {
+        Trial {
+            name: "all uses together",
+            limits,
+            servers: vec![start_server(Duration::from_millis(50), 60 * KIB); 4],
+            heavy_clients: limits.descriptors * 3 / 5,
+        }
+        .run(|node, answers| {
+            let kind = NEXT_ID.load(Ordering::Relaxed) % 6;
+            match kind {
+                0 => upload_long_body(node, answers),
+                1 => {
+                    let padding = format!("X-Padding: {}\r\n", "x".repeat(28 * KIB));
+                    let head = post_request(&next_id("heavy"), "pay", &padding, "");
+                    exchange(node, head.as_bytes(), answers);
+                }
+                2 => {
+                    let requests: Vec<_> = (0..100).map(|_| request_with_body(1_000)).collect();
+                    exchange(node, &requests.concat(), answers);
+                }
+                3 => exchange(node, &request_with_body(200 * KIB), answers),
+                4 => {
+                    let mut stream = TcpStream::connect(node).expect("connect to the node");
+                    let _ = stream.write_all(&request_with_body(60 * KIB));
+                    thread::sleep(Duration::from_millis(300));
+                }
+                _ => exchange(node, &request_with_body(60 * KIB), answers),
+            }
+        });
+    }
+}
