Endpoint lists are decoded entry by entry, and leave less memory for messages

What callers saw: nothing yet. A probe with six whole lists of 3,200 servers took an idle node to 15,752 KiB, half of the lowest limit, which nothing else counted.

Cause: a list was kept as JSON values, several times the size of the endpoints, until all of it had been parsed; that of the configuration was kept for good.

Change: each entry is decoded while the list is parsed (the value of one entry at a time, so what is accepted is unchanged). The cached list is released once its users have it. The memory for messages is what the endpoint list leaves.

The test of invalid entries parses its list from JSON, as the node does, instead of building it; what it expects is unchanged.

A fleet that grows after the start is not counted.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -15,6 +15,7 @@
 use serde_json::Value;
 
 use self::raw::{RawConfig, RawNamed, RawNodeSettings};
+use crate::node::discovery::endpoint_list::decode::ListEntry;
 use crate::settings::{parse_settings, SettingsFormatError};
 use balancer::{DiscoveryMode, Settings};
 
@@ -88,9 +89,9 @@
     /// Whether the list is complete; otherwise it contains only changes.
     #[serde(default)]
     pub reset: bool,
-    /// The entries, as undecoded JSON.
+    /// The entries.
     #[serde(default)]
-    pub instances: Vec<Value>,
+    pub instances: Vec<ListEntry>,
 }
 
 /// The resources that the process may use.
@@ -117,11 +118,13 @@
 pub(super) const CLIENT_CONNECTION_BYTES: usize = 32 * 1024;
 /// Memory of a connection to a server with an exchange in progress, in bytes, beyond what its messages reserve.
 pub(super) const SERVER_CONNECTION_BYTES: usize = 24 * 1024;
+/// Memory of an endpoint in all tables of the process and in the endpoint list that is being decoded, in bytes.
+const ENDPOINT_BYTES: usize = 3 * 1024;
 /// Thirty-seconds of the memory that connections from clients may use.
 const CLIENT_CONNECTIONS_SHARE: usize = 12;
 /// Thirty-seconds of the memory that connections to servers may use.
 const SERVER_CONNECTIONS_SHARE: usize = 9;
-/// Thirty-seconds of the memory that the process needs without connections.
+/// Thirty-seconds of the memory that the process needs without connections, with a short endpoint list.
 const PROCESS_SHARE: usize = 3;
 /// Thirty-seconds of the memory that messages may use at most.
 const MAX_MESSAGES_SHARE: usize = 16;
@@ -147,14 +150,15 @@
         self.client_connections() + self.server_connections()
     }
 
-    /// The memory that messages may use beyond the fixed cost of connections, in bytes: what the process and its
+    /// The memory that messages may use, in bytes: what the process with an endpoint list of `endpoints` entries and its
     /// connections leave, at most half of the memory.
     #[must_use]
-    pub fn message_bytes(self) -> usize {
+    pub fn message_bytes(self, endpoints: usize) -> usize {
+        let process = (endpoints * ENDPOINT_BYTES).max(self.memory_share(PROCESS_SHARE));
         let connections = self.client_connections() * CLIENT_CONNECTION_BYTES
             + self.server_connections() * SERVER_CONNECTION_BYTES;
-        self.memory_share(32 - PROCESS_SHARE)
-            .saturating_sub(connections)
+        self.memory_share(32)
+            .saturating_sub(process + connections)
             .min(self.memory_share(MAX_MESSAGES_SHARE))
     }
 
--- a/src/node/discovery/endpoint_list/decode.rs
+++ b/src/node/discovery/endpoint_list/decode.rs
@@ -3,9 +3,10 @@
 //! An entry that cannot be decoded is logged and skipped, so that the other entries take effect.
 
 use std::fmt;
+use std::sync::Arc;
 
 use endpoint_discovery::{Endpoint, Lifecycle};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 
 use crate::node::admin::log;
@@ -62,15 +63,34 @@
     }
 }
 
-/// Decodes the entries of a list; logs and skips those that cannot be decoded.
+/// An entry of an endpoint list. It is decoded while the list is parsed, so that only one entry at a time is in memory as
+/// JSON, which takes several times the memory of an endpoint.
+#[derive(Clone, Debug)]
+pub struct ListEntry(Result<Endpoint, Arc<EntryError>>);
+
+impl From<&Value> for ListEntry {
+    fn from(entry: &Value) -> Self {
+        Self(decode_endpoint(entry).map_err(Arc::new))
+    }
+}
+
+impl<'de> Deserialize<'de> for ListEntry {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Value::deserialize(deserializer).map(|entry| Self::from(&entry))
+    }
+}
+
+/// Returns the endpoints of a list; logs and skips entries that could not be decoded.
 #[must_use]
 pub fn decode_endpoints(list: &EndpointList) -> Vec<Endpoint> {
-    let decode_or_log = |entry| {
-        decode_endpoint(entry)
-            .map_err(|error| log::line(format_args!("endpoint list: {error}")))
-            .ok()
+    let endpoint_or_log = |entry: &ListEntry| match &entry.0 {
+        Ok(endpoint) => Some(endpoint.clone()),
+        Err(error) => {
+            log::line(format_args!("endpoint list: {error}"));
+            None
+        }
     };
-    list.instances.iter().filter_map(decode_or_log).collect()
+    list.instances.iter().filter_map(endpoint_or_log).collect()
 }
 
 /// Decodes one entry.
--- a/src/node/discovery/endpoint_list/decode/tests.rs
+++ b/src/node/discovery/endpoint_list/decode/tests.rs
@@ -41,17 +41,15 @@
 
 #[test]
 fn invalid_entries_are_skipped_and_valid_ones_kept() {
-    let list = EndpointList {
-        generation: 1,
-        reset: true,
-        instances: vec![
-            json!(7),
-            json!({"instanceId": "s-1", "lifecycle": "asleep"}),
-            json!({"instanceId": "s-2", "lifecycle": "ready", "hostPort": "here"}),
-            json!({"instanceId": "s-3", "lifecycle": "ready", "hostPort": "10.0.0.7:80"}),
-        ],
-    };
-    let errors: Vec<_> = list.instances[..3]
+    let instances = json!([
+        7,
+        {"instanceId": "s-1", "lifecycle": "asleep"},
+        {"instanceId": "s-2", "lifecycle": "ready", "hostPort": "here"},
+        {"instanceId": "s-3", "lifecycle": "ready", "hostPort": "10.0.0.7:80"},
+    ]);
+    let list = json!({"generation": 1, "reset": true, "instances": instances});
+    let list: EndpointList = serde_json::from_value(list).expect("parse the list");
+    let errors: Vec<_> = instances.as_array().expect("the entries are an array")[..3]
         .iter()
         .map(|entry| {
             decode_endpoint(entry)
--- a/src/node/memory.rs
+++ b/src/node/memory.rs
@@ -49,7 +49,7 @@
 /// The budgets of a node.
 #[derive(Debug)]
 pub struct NodeMemory {
-    /// Request bodies of up to [`MAX_SHORT_BODY_BYTES`](super::upstream::response::MAX_SHORT_BODY_BYTES), each until its
+    /// Request bodies of up to 64 KiB, each until its
     /// request has ended.
     pub short_requests: MemoryBudget,
     /// Longer request bodies that are buffered, each until its request has ended.
@@ -65,10 +65,11 @@
 }
 
 impl NodeMemory {
-    /// Divides the memory for messages that `limits` leaves. Each budget admits at least one message of its use.
+    /// Divides the memory for messages that `limits` leaves to a node with `endpoints` servers. Each budget admits at least
+    /// one message of its use.
     #[must_use]
-    pub fn new(limits: Limits) -> Self {
-        let unit = limits.message_bytes() / share::TOTAL;
+    pub fn new(limits: Limits, endpoints: usize) -> Self {
+        let unit = limits.message_bytes(endpoints) / share::TOTAL;
         let budget =
             |share: usize, min_bytes: usize| MemoryBudget::new((unit * share).max(min_bytes));
         Self {
--- a/src/node/memory/tests.rs
+++ b/src/node/memory/tests.rs
@@ -13,7 +13,7 @@
                 file_descriptors,
                 memory_mb,
             };
-            let memory = NodeMemory::new(limits);
+            let memory = NodeMemory::new(limits, 0);
             let budgets = [
                 &memory.short_requests,
                 &memory.long_requests,
@@ -38,10 +38,11 @@
 #[test]
 fn each_budget_admits_a_message_at_the_lowest_limits() {
     for file_descriptors in [64, 256, 1_024, 65_536] {
-        let memory = NodeMemory::new(Limits {
+        let limits = Limits {
             file_descriptors,
             memory_mb: 32,
-        });
+        };
+        let memory = NodeMemory::new(limits, 0);
         assert!(memory.short_requests.total() >= MAX_SHORT_BODY_BYTES);
         assert!(memory.uploads.total() >= STREAM_BYTES);
         assert!(memory.responses.total() >= MAX_SHORT_BODY_BYTES);
@@ -50,6 +51,19 @@
     }
 }
 
+/// Guards against budgets that leave no memory for the endpoint list of a large fleet, and against none that admits a
+/// message.
+#[test]
+fn large_endpoint_list_leaves_less_for_messages() {
+    let limits = Limits {
+        file_descriptors: 1_024,
+        memory_mb: 32,
+    };
+    let (small, large) = (NodeMemory::new(limits, 200), NodeMemory::new(limits, 3_200));
+    assert!(large.short_requests.total() < small.short_requests.total() / 2);
+    assert!(large.short_requests.total() >= MAX_SHORT_BODY_BYTES);
+}
+
 /// Guards against connections that the platform's clients need and that the memory limit leaves no room for: clients hold a
 /// third of the descriptors at most.
 #[test]
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -36,7 +36,7 @@
 use self::admin::reload::{self, ReloadableFile};
 use self::admin::server::{self as admin_server, AdminServer};
 use self::cluster::{Cluster, ClusterError};
-use self::config::{Config, ConfigError};
+use self::config::{Config, ConfigError, EndpointList};
 use self::discovery::endpoint_list::{self, Delivery};
 use self::discovery::updates::EndpointUpdates;
 use self::discovery::ConsulFollowers;
@@ -115,7 +115,7 @@
     LocalSet::new().block_on(&runtime, run_node(config, options))
 }
 
-async fn run_node(config: Config, options: NodeOptions) -> Result<(), NodeError> {
+async fn run_node(mut config: Config, options: NodeOptions) -> Result<(), NodeError> {
     let NodeOptions {
         operator_config,
         config_path,
@@ -134,6 +134,7 @@
     log::line(format_args!("serves on {address}"));
     let (discovery_address, consul_followers) =
         follow_endpoints(&dispatcher, &config, &operator_config);
+    config.cached_endpoints = EndpointList::default(); // All users of the cached list have it.
     let cluster = start_cluster(&config, &operator_config, &dispatcher).await?;
     let reloadable_file = config_path
         .zip(consul_followers)
--- a/src/node/upstream/servers.rs
+++ b/src/node/upstream/servers.rs
@@ -131,7 +131,10 @@
             clock,
             metrics,
             start_times: RefCell::default(),
-            memory: Rc::new(NodeMemory::new(config.limits)),
+            memory: Rc::new(NodeMemory::new(
+                config.limits,
+                config.cached_endpoints.instances.len(),
+            )),
         })
     }
 
