--- a/src/node/memory.rs
+++ b/src/node/memory.rs
@@ -49,8 +49,7 @@
 /// The budgets of a node.
 #[derive(Debug)]
 pub struct NodeMemory {
-    /// Request bodies of up to 64 KiB, each until its
-    /// request has ended.
+    /// Request bodies of up to 64 KiB, each until its request has ended.
     pub short_requests: MemoryBudget,
     /// Longer request bodies that are buffered, each until its request has ended.
     pub long_requests: MemoryBudget,
