A long request to a server that stops reading is answered in time

What callers saw: a long request whose rest fit the kernel's buffers had no answer half a second after its time: with a deadline of 2.4 s the node gave up after 5 s.

Cause: the timeout of a streamed request begins with its last byte at the server. While the server does not read, the rest lies in the kernel, its client has sent all of it, and only the stall timeout of streams (5 s) ended the wait.

Change: the stall timeout is at most the request's timeout. A client that still has something to send loses at most the wait beyond it.

A server that reads slowly, without a stall, can stretch the wait still; not run.

--- a/src/node/upstream/http1/connection.rs
+++ b/src/node/upstream/http1/connection.rs
@@ -126,7 +126,8 @@
         let send_stall_timeout = if body.is_buffered() {
             stall_timeout.max(MIN_SEND_STALL_TIMEOUT)
         } else {
-            STREAMING_STALL_TIMEOUT
+            // Its last byte may already be in the kernel, and the client's timeout has begun.
+            STREAMING_STALL_TIMEOUT.min(exchange.remaining)
         };
         let request = hyper_request(exchange.request, exchange.remaining, body);
         let response = self.sender.send_request(request);
--- a/tests/long.rs
+++ b/tests/long.rs
@@ -479,3 +479,64 @@
         );
     }
 }
+
+/// Guards against a long request that gets no response in time because a server stops reading it: the rest of it is in the
+/// kernel, so the client's timeout has begun.
+#[test]
+fn long_request_to_server_that_stops_reading_is_answered_in_time() {
+    const TIMEOUT: Duration = Duration::from_millis(2_000);
+    /// Time after its timeout within which a client must have a response.
+    const MAX_LATENESS: Duration = Duration::from_millis(500);
+    let discovery = Discovery::start();
+    let address = server_that_reads_a_prefix(10_000, b"");
+    let entries = [endpoint_entry("s-part", address, "ready")];
+    let endpoints = endpoint_list(1, true, &entries);
+    let node = Node::start(&config(
+        discovery.address,
+        &endpoints,
+        &settings(TIMEOUT.as_millis() as u64),
+    ));
+    let address = node.address;
+    // Returns whether the request was written, and checks its response then. The rest of one that was not written does not
+    // fit into the buffers, and the node still waits for the client.
+    let send = move |megabytes: usize| {
+        let length = megabytes << 20;
+        let head = upload_head(&megabytes.to_string(), length);
+        let mut stream = TcpStream::connect(address).expect("connect to the node");
+        stream
+            .set_write_timeout(Some(TIMEOUT))
+            .expect("set the write timeout");
+        let request = with_body(&head, &vec![b'x'; length]);
+        if stream.write_all(&request).is_err() {
+            return false;
+        }
+        let written_at = Instant::now();
+        stream
+            .set_read_timeout(Some(WAIT_TIMEOUT))
+            .expect("set the read timeout");
+        let response = Message::read(&mut std::io::BufReader::new(&stream));
+        let status = response.expect("the node answers the request").status();
+        let elapsed = written_at.elapsed();
+        // 502 if the last byte was written to the kernel of the server, which may have run the request.
+        assert!([502, 503].contains(&status), "{length} bytes: {status}");
+        assert!(
+            elapsed < TIMEOUT + MAX_LATENESS,
+            "{length} bytes: answered after {elapsed:?}"
+        );
+        true
+    };
+    let clients: Vec<_> = [1, 2, 4, 5, 6, 8]
+        .into_iter()
+        .map(|megabytes| thread::spawn(move || send(megabytes)))
+        .collect();
+    let written = clients
+        .into_iter()
+        .filter_map(|client| {
+            client
+                .join()
+                .expect("the client does not panic")
+                .then_some(())
+        })
+        .count();
+    assert!(written > 0, "no request fit into the buffers");
+}
