A Content-Length beyond the kept part of its line makes a request ambiguous

What callers saw: a Content-Length of sixty zeros and a 5 was read as 0. The body counted as a head, one message too many was counted, and the next request with both lengths on that connection was forwarded and served.

Cause: the framing keeps 64 bytes of a line and parsed the kept part as all of it.

Change: a length on a line that is longer than what is kept is invalid, which makes the request ambiguous: it gets 400, and no message follows it.

Evidence: length_on_an_overlong_line_is_ambiguous failed before, for 65 digits in pieces of one byte, and passes now, beside the older tests of the framing.

--- a/src/node/downstream/framing.rs
+++ b/src/node/downstream/framing.rs
@@ -41,6 +41,8 @@
     line: [u8; MAX_KEPT_LINE_BYTES],
     /// Number of bytes in `line`.
     kept_bytes: usize,
+    /// Whether the current line is longer than `line`.
+    is_line_truncated: bool,
     has_request_line: bool,
     content_length_count: usize,
     /// The value of the last `Content-Length`, in bytes; `None` if it is absent or invalid.
@@ -53,6 +55,7 @@
         Self {
             line: [0; MAX_KEPT_LINE_BYTES],
             kept_bytes: 0,
+            is_line_truncated: false,
             has_request_line: false,
             content_length_count: 0,
             content_length: None,
@@ -144,6 +147,7 @@
         let kept = chunk.len().min(MAX_KEPT_LINE_BYTES - self.kept_bytes);
         self.line[self.kept_bytes..self.kept_bytes + kept].copy_from_slice(&chunk[..kept]);
         self.kept_bytes += kept;
+        self.is_line_truncated |= kept < chunk.len();
         match newline {
             None => LineProgress {
                 consumed_bytes: bytes.len(),
@@ -158,6 +162,7 @@
 
     /// Parses the complete line. Returns whether it ends the head.
     fn end_line(&mut self) -> bool {
+        let is_truncated = std::mem::take(&mut self.is_line_truncated);
         let kept = self.line;
         let line = kept[..std::mem::take(&mut self.kept_bytes)].trim_ascii_end();
         if line.is_empty() {
@@ -167,19 +172,21 @@
         // The request line is not a header.
         if std::mem::replace(&mut self.has_request_line, true) {
             if let Some(colon) = line.iter().position(|byte| *byte == b':') {
-                self.record_header(line[..colon].trim_ascii(), line[colon + 1..].trim_ascii());
+                let value = Some(line[colon + 1..].trim_ascii()).filter(|_| !is_truncated);
+                self.record_header(line[..colon].trim_ascii(), value);
             }
         }
         false
     }
 
-    fn record_header(&mut self, name: &[u8], value: &[u8]) {
+    /// Records a header; `value` is `None` if it is only known in part.
+    fn record_header(&mut self, name: &[u8], value: Option<&[u8]>) {
         if name.eq_ignore_ascii_case(b"transfer-encoding") {
             self.has_transfer_encoding = true;
         } else if name.eq_ignore_ascii_case(b"content-length") {
             self.content_length_count += 1;
             // Only digits are valid; the integer parser would also accept a sign.
-            let digits = Some(value).filter(|value| value.iter().all(u8::is_ascii_digit));
+            let digits = value.filter(|value| value.iter().all(u8::is_ascii_digit));
             self.content_length = digits
                 .and_then(|digits| std::str::from_utf8(digits).ok())
                 .and_then(|digits| digits.parse().ok());
--- a/src/node/downstream/framing/tests.rs
+++ b/src/node/downstream/framing/tests.rs
@@ -75,3 +75,27 @@
         (false, true)
     );
 }
+
+/// Guards against a length whose digits lie beyond the part of the line that is kept: a part of the body would count as a
+/// head, and the framing of later messages would be that of others.
+#[test]
+fn length_on_an_overlong_line_is_ambiguous() {
+    let zeros = "0".repeat(MAX_KEPT_LINE_BYTES);
+    let spaces = " ".repeat(MAX_KEPT_LINE_BYTES);
+    for value in [
+        format!("{zeros}5"),
+        format!("{spaces}5"),
+        format!("5{spaces}"),
+    ] {
+        let text = format!("POST / HTTP/1.1\r\nContent-Length: {value}\r\n\r\nabcde");
+        for chunk_bytes in [1, 7, text.len()] {
+            let framing = framing_of(&text, chunk_bytes);
+            assert!(
+                framing.is_ambiguous(1),
+                "{value:?} in chunks of {chunk_bytes}"
+            );
+        }
+    }
+    let long_header = format!("GET / HTTP/1.1\r\nX-Padding: {zeros}\r\n\r\n");
+    assert!(!framing_of(&long_header, 7).is_ambiguous(1));
+}
