The head of a streamed response is written before its body can break off

What callers saw: a server announced over 64 KiB, wrote some kilobytes and closed. The client's connection was closed without a byte, which is a lost request; once a byte has been passed on, the response has failed visibly.

Cause: the response is streamed from its first chunk on. If the error follows in the same iteration, hyper gets it before it has written the head, and closes.

Change: the first poll of a streamed body is pending, so hyper writes the head.

--- a/src/node/downstream/body_stream.rs
+++ b/src/node/downstream/body_stream.rs
@@ -236,8 +236,17 @@
 pub enum ResponseStream {
     /// The complete body.
     Buffered(Full<Bytes>),
-    /// A streamed body, and a callback that is called once when it ends.
-    Streamed(BodyReceiver, Option<Box<dyn FnOnce(StreamEnd)>>),
+    /// A streamed body.
+    Streamed(StreamedResponse),
+}
+
+/// A streamed response body.
+pub struct StreamedResponse {
+    receiver: BodyReceiver,
+    /// Called once when the body ends.
+    on_end: Option<Box<dyn FnOnce(StreamEnd)>>,
+    /// Whether hyper has polled the body.
+    is_polled: bool,
 }
 
 impl ResponseStream {
@@ -250,7 +259,11 @@
     /// Creates a streamed body. `on_end` is called once, when the body ends or is dropped.
     #[must_use]
     pub fn streamed(body: BodyReceiver, on_end: impl FnOnce(StreamEnd) + 'static) -> Self {
-        Self::Streamed(body, Some(Box::new(on_end)))
+        Self::Streamed(StreamedResponse {
+            receiver: body,
+            on_end: Some(Box::new(on_end)),
+            is_polled: false,
+        })
     }
 
     /// Creates a body from a static text.
@@ -260,8 +273,8 @@
     }
 
     fn report_end(&mut self, end: StreamEnd) {
-        if let Self::Streamed(_, on_end) = self {
-            if let Some(on_end) = on_end.take() {
+        if let Self::Streamed(stream) = self {
+            if let Some(on_end) = stream.on_end.take() {
                 on_end(end);
             }
         }
@@ -272,8 +285,8 @@
     /// Reports the end if that has not happened yet: hyper does not poll for the end of a body once it has read all bytes of
     /// the announced length.
     fn drop(&mut self) {
-        if let Self::Streamed(receiver, _) = self {
-            let end = if receiver.has_received_all() {
+        if let Self::Streamed(stream) = self {
+            let end = if stream.receiver.has_received_all() {
                 StreamEnd::Complete
             } else {
                 StreamEnd::ClientDisconnected
@@ -293,7 +306,15 @@
                 let frame = std::task::ready!(Pin::new(body).poll_frame(cx));
                 return Poll::Ready(frame.map(|frame| frame.map_err(|never| match never {})));
             }
-            Self::Streamed(receiver, _) => std::task::ready!(receiver.poll(cx)),
+            Self::Streamed(stream) => {
+                // hyper then writes the head first. If the body breaks off at once, hyper would close the connection
+                // without it, and the client could not tell that its request had a response.
+                if !std::mem::replace(&mut stream.is_polled, true) {
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+                std::task::ready!(stream.receiver.poll(cx))
+            }
         };
         match &frame {
             Some(Ok(_)) => {}
@@ -313,7 +334,8 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(body) => body.size_hint(),
-            Self::Streamed(receiver, _) => receiver
+            Self::Streamed(stream) => stream
+                .receiver
                 .remaining_bytes
                 .map(SizeHint::with_exact)
                 .unwrap_or_default(),
--- a/tests/long.rs
+++ b/tests/long.rs
@@ -480,6 +480,34 @@
     }
 }
 
+/// Guards against a close without a byte: the server's response breaks off before its head has been written to the client,
+/// which could not tell it from a lost request.
+#[test]
+fn client_of_long_response_that_breaks_off_at_once_gets_its_head() {
+    const REQUESTS: usize = 40;
+    let truncated = [
+        &b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n"[..],
+        &[b'a'; 8_000],
+    ]
+    .concat();
+    let server = Server::start(move |_| Reply::SendAndClose(truncated.clone()));
+    let (node, _discovery) = start_node(&[&server]);
+    for number in 0..REQUESTS {
+        let mut stream = TcpStream::connect(node.address).expect("connect to the node");
+        let request = post_request(&number.to_string(), "pay", "", "");
+        stream
+            .write_all(request.as_bytes())
+            .expect("write the request");
+        let mut received = Vec::new();
+        let _ = stream.read_to_end(&mut received); // A truncated response may end with a reset.
+        assert!(
+            received.starts_with(b"HTTP/1.1 "),
+            "request {number}: closed after {} bytes",
+            received.len()
+        );
+    }
+}
+
 /// Guards against a long request that gets no response in time because a server stops reading it: the rest of it is in the
 /// kernel, so the client's timeout has begun.
 #[test]
