A streamed request that waited for memory tells servers no more time than is left

Cause: the wait shortened the deadline of buffered requests, and of streamed ones only once their upload was complete.

Change: the timeout of a streamed request is shorter by the wait from the start.

Evidence: by reading; the unit tests, tests/long.rs and tests/request_lengths.rs pass. No test provokes the wait for a streamed request at a server that records its deadline.

--- a/src/node/downstream/request_handler.rs
+++ b/src/node/downstream/request_handler.rs
@@ -171,7 +171,7 @@
             })
         }
     };
-    // The deadline counts from the last byte of the request, which may have arrived while the node waited for memory; for
+    // The deadline counts from the last byte of the request, which may have arrived before the node waited for memory; for
     // a streamed body, `upload_completed` restarts it.
     let received_at = Instant::now() - upload.memory_wait();
     if must_keep_connections_free(state) {
@@ -179,9 +179,11 @@
             retry_after_ms: Some(FREE_CONNECTION_RETRY_MS),
         });
     }
+    let mut timeout = deadline;
     let (body, upload_sender) = match buffered {
         BufferedBody::Complete(body) => (RequestBody::Buffered(body), None),
         BufferedBody::Prefix(prefix, reservation) => {
+            timeout = deadline.saturating_sub(upload.memory_wait());
             let (sender, rest) = body_stream(upload.remaining_bytes());
             let body = RequestBody::Streamed(Upload::new(prefix, rest, reservation));
             (body, Some(sender))
@@ -195,7 +197,7 @@
         key: sticky_key,
         message,
         received_at,
-        timeout: deadline,
+        timeout,
     };
     let Some(mut request) = dispatcher.accept_request(new_request) else {
         return Ok(FinalResponse::Rejected {
@@ -209,7 +211,7 @@
             streamed = upload.stream_to(sender, state) => streamed?,
         };
         if is_complete {
-            request.upload_completed(Instant::now() - upload.memory_wait());
+            request.upload_completed(Instant::now());
         }
     }
     Ok(request.response().await)
