Each request's head is counted on its own, so usual connections stay open

Cause: the count of a head's bytes began with the previous head's, which was read in the stage before it.

Change: only the stage that receives a head adds to a count; the first bytes of a head begin it.

--- a/src/node/downstream/socket.rs
+++ b/src/node/downstream/socket.rs
@@ -202,11 +202,10 @@
         self.head_bytes.set(previous_bytes + bytes);
     }
 
+    /// Returns whether a part of a head has been received. The first bytes of a head arrive in another stage, and begin its
+    /// count.
     fn is_receiving_head(&self) -> bool {
-        matches!(
-            self.connection.stage(),
-            Stage::New | Stage::Idle | Stage::ReceivingHead
-        )
+        self.connection.stage() == Stage::ReceivingHead
     }
 
     /// Returns whether the connection ended because no memory for a long head was available.
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -547,3 +547,18 @@
         });
     }
 }
+
+/// Guards against counting the heads of all requests on a connection as one long head, which must be its last.
+#[test]
+fn connection_with_many_short_requests_stays_open() {
+    const REQUESTS: usize = 300;
+    let server = start_server(Duration::ZERO, 10);
+    let (node, _discovery) = start_node(LIMITS[0], &[server], 15_000);
+    let mut client = node.connect();
+    for number in 0..REQUESTS {
+        client.send(&post_request(&next_id("heavy"), "pay", "", "body"));
+        let response = client.read_response().expect("read the response");
+        assert_eq!(response.status(), 200, "request {number}");
+        assert_eq!(response.header("connection"), None, "request {number}");
+    }
+}
