A server that has begun to answer is given up only at the request's deadline

Cause: a response body, or a part of a head, that paused for a third of the request's remaining time (0.25 to 1.5 s) counted as stalled; the node closed the connection and tried the next server, whose response paused as long. A pause cannot be told from a stall, so any limit below the client's time cuts off sound responses. Class of bug: a guess about a peer, by a timeout, taken for a fact.

Now the attempt ends at the deadline. What cannot become a valid response is still given up at once. Related paths: - the first bytes of a long response were under the same limit; - a body of unannounced length was buffered up to 64 KiB, and lost if it was not complete by the deadline: 20 ms before it the rest is streamed; - a streamed response stalls only after its deadline, as long as the client waits for more than 5 s; - a server that read none of a buffered request for 0.25 to 1.5 s (0.6 s at the least) was given up: now 5 s, as with streamed ones, since the kernel reports progress in steps of up to 64 KiB.

Tests replaced, as strict: `malformed_response_is_abandoned_early_and_retried` keeps the responses that are malformed; the three that were beginnings of valid responses, and two more, are in `response_that_stalls_is_awaited_until_the_deadline_and_answered_in_time`.

Log: lines about a response that is not complete carry the request's id and the reason.

--- a/crates/flow-control/src/lib.rs
+++ b/crates/flow-control/src/lib.rs
@@ -27,6 +27,4 @@
 mod transfer_rate;
 
 pub use memory_budget::{MemoryBudget, Reservation};
-pub use transfer_rate::{
-    response_stall_timeout_ms, TransferDeadline, MAX_RESPONSE_STALL_MS, MIN_RESPONSE_STALL_MS,
-};
+pub use transfer_rate::TransferDeadline;
--- a/crates/flow-control/src/transfer_rate.rs
+++ b/crates/flow-control/src/transfer_rate.rs
@@ -1,8 +1,8 @@
 //! Minimum transfer rates: the time by which a peer must have transferred more data.
 //!
-//! Owns the minimum rates of uploads and streamed bodies and the stall timeout of responses. Invariant:
-//! a peer whose data arrives at the minimum rate or faster never reaches its deadline, provided that no
-//! chunk takes longer than the grace period at the minimum rate.
+//! Owns the minimum rates of uploads and streamed bodies. Invariant: a peer whose data arrives at the
+//! minimum rate or faster never reaches its deadline, provided that no chunk takes longer than the grace
+//! period at the minimum rate.
 
 /// Minimum rate of a request body that a client uploads: three quarters of the rate of the slowest
 /// clients.
@@ -14,25 +14,6 @@
 const MIN_STREAMING_BYTES_PER_MS: f64 = 8.0;
 /// Grace period of a streamed body, for peers that pause for several seconds.
 const STREAMING_GRACE_MS: f64 = 5_000.0;
-/// Lower bound of the stall timeout of a response: several round trips between data centers.
-pub const MIN_RESPONSE_STALL_MS: f64 = 250.0;
-/// Upper bound of the stall timeout of a response: a server that has sent nothing for this long has
-/// stalled, however much time the request has left.
-pub const MAX_RESPONSE_STALL_MS: f64 = 1_500.0;
-/// Fraction of a request's remaining time that may be spent on a stalled response. The rest is left for
-/// a retry.
-const RESPONSE_STALL_FRACTION: f64 = 1.0 / 3.0;
-
-/// Returns how long a response may stall before its attempt is abandoned, while none of it has been
-/// forwarded and the request has `remaining_ms` left.
-///
-/// Without this timeout, a response that never ends would leave no time for a retry. A short timeout for
-/// all requests would abandon servers that are merely slow.
-#[must_use]
-pub fn response_stall_timeout_ms(remaining_ms: f64) -> f64 {
-    (remaining_ms * RESPONSE_STALL_FRACTION).clamp(MIN_RESPONSE_STALL_MS, MAX_RESPONSE_STALL_MS)
-}
-
 /// Deadline of a body with a minimum average transfer rate and a grace period.
 ///
 /// Each transferred byte moves the deadline on by the time that the byte may take at the minimum rate.
--- a/src/node/downstream/body_stream.rs
+++ b/src/node/downstream/body_stream.rs
@@ -32,12 +32,26 @@
 pub enum StreamError {
     /// The connection that the body is read from failed.
     Connection(ConnectionError),
+    /// The body made no progress, or less than the minimum transfer rate requires.
+    Stalled,
     /// The memory for the body could not be reserved in time.
     MemoryExhausted,
     /// The receiver was dropped, or reads more slowly than the minimum transfer rate.
     ReceiverGone,
 }
 
+impl std::fmt::Display for StreamError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Connection(ConnectionError::Closed) => "the server closed the connection",
+            Self::Connection(_) => "it is malformed or exceeds a limit",
+            Self::Stalled => "the server stalled",
+            Self::MemoryExhausted => "no memory for it became free in time",
+            Self::ReceiverGone => "its client disconnected or reads too slowly",
+        })
+    }
+}
+
 /// Error for a body that ended before it was complete, or that is longer than announced. The peer that receives the body
 /// must be able to detect this.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/node/upstream/http1/connection.rs
+++ b/src/node/upstream/http1/connection.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 use balancer::AttemptResult;
-use flow_control::response_stall_timeout_ms;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, HOST, TRANSFER_ENCODING};
@@ -17,9 +16,9 @@
 use pool::{BytesSent, CloseReason, ConnectionError};
 
 use super::metered::MeteredStream;
-use super::progress::{ExchangeProgress, MIN_SEND_STALL_TIMEOUT};
+use super::progress::ExchangeProgress;
 use super::request_body::AttemptBody;
-use super::response_reader::{declines, load_report, STREAMING_STALL_TIMEOUT};
+use super::response_reader::{declines, load_report, STALL_TIMEOUT};
 use crate::node::admin::log;
 use crate::node::upstream::response::attempt_result;
 use crate::node::upstream::stream::Stream;
@@ -91,15 +90,11 @@
         mut self,
         exchange: Exchange<'_>,
     ) -> Result<AttemptOutcome, ExchangeError> {
-        let started = Instant::now();
-        let remaining_ms = exchange.remaining.as_secs_f64() * 1e3;
-        let stall_timeout = Duration::from_secs_f64(response_stall_timeout_ms(remaining_ms) / 1e3);
-        let sent = self.send(exchange, stall_timeout).await;
+        let deadline = Instant::now() + exchange.remaining;
+        let sent = self.send(exchange).await;
         let error = match sent {
             Ok(response) if self.progress.bytes_sent() == BytesSent::Complete => {
-                return Ok(self
-                    .read_response(response, stall_timeout, exchange, started)
-                    .await);
+                return Ok(self.read_response(response, exchange, deadline).await);
             }
             Ok(response) => match early_outcome(&response) {
                 Some(outcome) => return Ok(outcome),
@@ -118,17 +113,11 @@
     async fn send(
         &mut self,
         exchange: Exchange<'_>,
-        stall_timeout: Duration,
     ) -> Result<Response<Incoming>, ConnectionError> {
         self.progress
             .begin(&exchange.request.sent_attempts, &exchange.memory.heads);
         let body = AttemptBody::new(exchange.request, &self.progress);
-        let send_stall_timeout = if body.is_buffered() {
-            stall_timeout.max(MIN_SEND_STALL_TIMEOUT)
-        } else {
-            // Its last byte may already be in the kernel, and the client's timeout has begun.
-            STREAMING_STALL_TIMEOUT.min(exchange.remaining)
-        };
+        let send_stall_timeout = STALL_TIMEOUT.min(exchange.remaining);
         let request = hyper_request(exchange.request, exchange.remaining, body);
         let response = self.sender.send_request(request);
         tokio::select! {
@@ -144,9 +133,13 @@
                     }
                 })
             }
-            error = self.progress.wait_for_stall(stall_timeout, send_stall_timeout) => {
-                log::line("an exchange with a server stalled before a complete response head arrived");
-                Err(error)
+            () = self.progress.wait_for_send_stall(send_stall_timeout) => {
+                log::request_line(format_args!(
+                    "request {}: a server read none of it for {} ms",
+                    exchange.request.client_id(),
+                    send_stall_timeout.as_millis()
+                ));
+                Err(ConnectionError::Stalled)
             }
         }
     }
--- a/src/node/upstream/http1/progress.rs
+++ b/src/node/upstream/http1/progress.rs
@@ -7,7 +7,7 @@
 
 use admin::Counter;
 use flow_control::{MemoryBudget, Reservation};
-use pool::{BytesSent, ConnectionError};
+use pool::BytesSent;
 use tokio::sync::Notify;
 
 use crate::node::memory::{LONG_HEAD_BYTES, MAX_READ_BYTES};
@@ -15,11 +15,6 @@
 
 /// Maximum number of bytes received for a buffered response: its head, its body and the 1xx responses before it.
 const MAX_BUFFERED_RESPONSE_WIRE_BYTES: usize = 4 * MAX_SHORT_BODY_BYTES;
-/// Minimum time without progress after which sending a buffered request counts as stalled: TCP can retransmit two
-/// lost packets within it. A request whose last byte has not been sent has not run, and may be sent to another
-/// address.
-pub const MIN_SEND_STALL_TIMEOUT: Duration = Duration::from_millis(600);
-const HEAD_END: [u8; 4] = *b"\r\n\r\n";
 
 /// More bytes were received than a response may have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,8 +33,6 @@
 pub struct ExchangeProgress {
     written_bytes: Cell<u64>,
     read_bytes: Cell<usize>,
-    /// The last four bytes received.
-    tail: Cell<[u8; 4]>,
     /// Whether the end of the request has not been handed to hyper yet, so that no write can contain its last byte. Set
     /// only by the body that withholds the end: the default is that a write may contain it.
     is_end_withheld: Cell<bool>,
@@ -76,7 +69,6 @@
         self.is_write_blocked.set(false);
         self.read_bytes.set(0);
         self.additional_bytes.set(0);
-        self.tail.set([0; 4]);
     }
 
     /// Records whether the end of the request is withheld from hyper.
@@ -160,12 +152,6 @@
     /// The response exceeds its size limit, or no memory for its long head is available.
     pub fn record_read(&self, bytes: &[u8]) -> Result<(), ResponseLimitExceeded> {
         self.read_bytes.set(self.read_bytes.get() + bytes.len());
-        let mut tail = self.tail.get();
-        for byte in &bytes[bytes.len().saturating_sub(tail.len())..] {
-            tail.rotate_left(1);
-            tail[3] = *byte;
-        }
-        self.tail.set(tail);
         self.changed.notify_one();
         let limit = MAX_BUFFERED_RESPONSE_WIRE_BYTES + self.additional_bytes.get();
         if self.read_bytes.get() > limit || !self.reserve_head_memory() {
@@ -194,41 +180,23 @@
         self.changed.notify_one();
     }
 
-    /// Whether a response head has been received in part. This is false after a complete 1xx head, since the server
-    /// may take any time between it and the final response.
-    fn is_in_head(&self) -> bool {
-        self.read_bytes.get() > 0 && self.tail.get() != HEAD_END
-    }
-
-    /// Waits until the request or the response head stalls, and returns the corresponding error. Without this
-    /// timeout, a server that stops reading, or a head that never ends, would use up the request's time and leave
-    /// none for another attempt. Time spent waiting for the client's upload, or for the server to process the
-    /// request, does not count.
+    /// Waits until the server has read none of an incomplete request for `timeout`. Time in which the node waits for the
+    /// rest of the client's upload does not count, nor does time in which the server processes the request.
     ///
     /// Cancel safe, but each call restarts the timeout.
-    pub async fn wait_for_stall(
-        &self,
-        response_timeout: Duration,
-        send_timeout: Duration,
-    ) -> ConnectionError {
+    pub async fn wait_for_send_stall(&self, timeout: Duration) {
         loop {
-            let (timeout, error) = match self.bytes_sent() {
-                BytesSent::Complete if self.is_in_head() => {
-                    (response_timeout, ConnectionError::InvalidResponse)
-                }
-                BytesSent::None | BytesSent::Partial if self.is_write_blocked.get() => {
-                    (send_timeout, ConnectionError::Stalled)
-                }
-                _ => {
-                    self.changed.notified().await;
-                    continue;
-                }
-            };
+            let is_blocked =
+                self.bytes_sent() != BytesSent::Complete && self.is_write_blocked.get();
+            if !is_blocked {
+                self.changed.notified().await;
+                continue;
+            }
             if tokio::time::timeout(timeout, self.changed.notified())
                 .await
                 .is_err()
             {
-                return error;
+                return;
             }
         }
     }
--- a/src/node/upstream/http1/response_reader.rs
+++ b/src/node/upstream/http1/response_reader.rs
@@ -25,38 +25,67 @@
 };
 use crate::node::upstream::{AttemptOutcome, Exchange, ResponseBody, UpstreamResponse};
 
-/// Maximum time without progress of a streamed response or upload. No other server can continue it, so this is far
-/// longer than the timeout of an exchange that can be retried.
-pub(super) const STREAMING_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum time without progress of a request that is being sent, and of a streamed response after the deadline of its request.
+pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time before the deadline of a request at which its response stops waiting for memory: an attempt that times out counts
 /// against its server.
 const MEMORY_WAIT_MARGIN: Duration = Duration::from_millis(20);
+/// Time before the deadline of a request at which a response of unannounced length begins to be streamed. The dispatcher ends
+/// an attempt at the deadline.
+const STREAM_START_MARGIN: Duration = Duration::from_millis(20);
 /// Size on the wire of a chunk with one byte of data (`1\r\nx\r\n`), the largest overhead of the chunked coding.
 const WIRE_BYTES_PER_CHUNKED_BYTE: usize = 6;
 
-/// The budgets for a response, and the time by which memory must be available. No other server can give the response, so it
-/// waits for nearly as long as its client.
+/// The budgets for a response, and how long it may wait for them: nearly as long as its client, since no other server can
+/// give the response.
 #[derive(Clone, Copy)]
 struct ResponseMemory<'a> {
     budgets: &'a NodeMemory,
+    /// The deadline of the request.
     deadline: Instant,
     /// The time spent waiting.
     waited: &'a Cell<Duration>,
 }
 
+/// The buffered part of a body.
+enum BufferedPart {
+    /// The complete body.
+    Complete(Bytes),
+    /// The beginning of a body whose rest is streamed, and the memory for that if it has been reserved.
+    Beginning {
+        received: [Bytes; 2],
+        reservation: Option<Reservation>,
+    },
+}
+
+/// The next part of a body that is buffered.
+enum NextChunk {
+    Data(Bytes),
+    End,
+    /// Nothing has arrived in time.
+    Late,
+}
+
 impl Http1Connection {
-    /// Reads a response whose head has arrived.
+    /// Reads a response whose head has arrived. Until some of it has been forwarded the caller ends the attempt at the
+    /// deadline, and not before: a server that pauses cannot be told from one that has stalled.
     pub(super) async fn read_response(
         &mut self,
         response: Response<Incoming>,
-        stall_timeout: Duration,
         exchange: Exchange<'_>,
-        exchange_started: Instant,
+        deadline: Instant,
     ) -> AttemptOutcome {
         let (head, body) = response.into_parts();
         let report = load_report(&head.headers);
         let is_rejected = declines(&head.headers);
         let result = attempt_result(head.status, is_rejected);
+        if !matches!(result, AttemptResult::Served | AttemptResult::ClientError) {
+            return AttemptOutcome {
+                result,
+                report,
+                response: None,
+            };
+        }
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
         let memory_wait = Cell::new(Duration::ZERO);
         let response = |body| UpstreamResponse {
@@ -77,12 +106,16 @@
             };
         let memory = ResponseMemory {
             budgets: exchange.memory,
-            deadline: exchange_started + exchange.remaining.saturating_sub(MEMORY_WAIT_MARGIN),
+            deadline,
             waited: &memory_wait,
         };
-        let body = self
-            .read_body(&head, body, stall_timeout, memory, on_streamed_body)
-            .await;
+        let body = self.read_body(&head, body, memory, on_streamed_body).await;
+        if let Err(error) = body {
+            log::request_line(format_args!(
+                "request {}: response not complete: {error}",
+                exchange.request.client_id()
+            ));
+        }
         let (result, body) = result_with_body(result, body);
         AttemptOutcome {
             result,
@@ -92,14 +125,13 @@
     }
 
     /// Reads and returns a response body that is short enough to be buffered. A longer one is passed to
-    /// `on_streamed_body`, and `None` is returned once it has been streamed. It is an error if the body stalls, is
-    /// truncated, has no defined end or exceeds the limits, or if a longer one cannot be streamed because
-    /// `on_streamed_body` is `None`.
+    /// `on_streamed_body`, and `None` is returned once it has been streamed. It is an error if the body is truncated,
+    /// has no defined end or exceeds the limits, if it stalls while it is streamed, or if a longer one cannot be streamed
+    /// because `on_streamed_body` is `None`.
     async fn read_body(
         &mut self,
         head: &Parts,
         mut body: Incoming,
-        stall_timeout: Duration,
         memory: ResponseMemory<'_>,
         on_streamed_body: Option<&dyn Fn(BodyReceiver, Reservation)>,
     ) -> Result<Option<Bytes>, StreamError> {
@@ -114,31 +146,75 @@
             self.progress
                 .allow_additional_bytes(WIRE_BYTES_PER_CHUNKED_BYTE * MAX_SHORT_BODY_BYTES);
         }
-        let is_long = content_length.is_some_and(|len| len > MAX_SHORT_BODY_BYTES as u64);
+        let may_stream = on_streamed_body.is_some();
+        let part = self
+            .buffer_body(&mut body, content_length, memory, may_stream)
+            .await?;
+        let (received, reservation) = match part {
+            BufferedPart::Complete(body) => return Ok(Some(body)),
+            BufferedPart::Beginning {
+                received,
+                reservation,
+            } => (received, reservation),
+        };
+        let on_streamed_body =
+            on_streamed_body.ok_or(StreamError::Connection(ConnectionError::InvalidResponse))?;
+        let reservation = match reservation {
+            Some(reservation) => reservation,
+            None => self.reserve_stream(memory).await?,
+        };
+        let (sender, streamed) = body_stream(content_length);
+        on_streamed_body(streamed, reservation);
+        self.stream_body(sender, received, body, memory.deadline)
+            .await
+            .map(|()| None)
+    }
+
+    /// Buffers a body until it is complete, or has to be streamed: because it is too long or, if its length is not announced,
+    /// because the deadline is near and a server that writes it slowly must not be cut off.
+    async fn buffer_body(
+        &mut self,
+        body: &mut Incoming,
+        content_length: Option<u64>,
+        memory: ResponseMemory<'_>,
+        may_stream: bool,
+    ) -> Result<BufferedPart, StreamError> {
+        let max_bytes = match content_length {
+            Some(length) if length > MAX_SHORT_BODY_BYTES as u64 => 0,
+            _ => MAX_SHORT_BODY_BYTES,
+        };
+        let mut stream_from = Some(memory.deadline - STREAM_START_MARGIN)
+            .filter(|_| may_stream && content_length.is_none());
         let mut buffered = BufferedBody::default();
         loop {
-            let Some(chunk) = self.next_chunk(&mut body, stall_timeout).await? else {
-                return Ok(Some(buffered.freeze()));
+            let buffered_until = stream_from.filter(|_| !buffered.bytes.is_empty());
+            let chunk = match self.next_chunk_by(body, buffered_until).await? {
+                NextChunk::Data(chunk) => chunk,
+                NextChunk::End => return Ok(BufferedPart::Complete(buffered.freeze())),
+                NextChunk::Late => {
+                    stream_from = None;
+                    let budget = &memory.budgets.streamed_responses;
+                    let Some(reservation) = budget.try_reserve(STREAM_BYTES) else {
+                        continue;
+                    };
+                    return Ok(BufferedPart::Beginning {
+                        received: [buffered.freeze(), Bytes::new()],
+                        reservation: Some(reservation),
+                    });
+                }
             };
             let required = buffered.bytes.len() + chunk.len();
-            if !is_long && required <= MAX_SHORT_BODY_BYTES {
-                if required > buffered.bytes.capacity() {
-                    let reserving = buffered.make_room(required, content_length, memory.budgets);
-                    self.reserve(memory, reserving).await?;
-                }
-                buffered.bytes.extend_from_slice(&chunk);
-                continue;
+            if required > max_bytes {
+                return Ok(BufferedPart::Beginning {
+                    received: [buffered.freeze(), chunk],
+                    reservation: None,
+                });
             }
-            let on_streamed_body = on_streamed_body
-                .ok_or(StreamError::Connection(ConnectionError::InvalidResponse))?;
-            let reservation = self.reserve_stream(memory).await?;
-            let (sender, streamed) = body_stream(content_length);
-            on_streamed_body(streamed, reservation);
-            let received = [buffered.freeze(), chunk];
-            return self
-                .stream_body(sender, received, body)
-                .await
-                .map(|()| None);
+            if required > buffered.bytes.capacity() {
+                let reserving = buffered.make_room(required, content_length, memory.budgets);
+                self.reserve(memory, reserving).await?;
+            }
+            buffered.bytes.extend_from_slice(&chunk);
         }
     }
 
@@ -162,18 +238,20 @@
         reserving: impl Future<Output = Option<T>>,
     ) -> Result<T, StreamError> {
         let started = Instant::now();
-        let reserving = tokio::time::timeout_at(memory.deadline.into(), reserving);
+        let reserve_by = memory.deadline - MEMORY_WAIT_MARGIN;
+        let reserving = tokio::time::timeout_at(reserve_by.into(), reserving);
         let reserved = self.drive(reserving).await;
         memory.waited.set(memory.waited.get() + started.elapsed());
         reserved.ok().flatten().ok_or(StreamError::MemoryExhausted)
     }
 
-    /// Streams a body whose first chunks have been received.
+    /// Streams a body whose first chunks have been received. It does not count as stalled before the request's deadline.
     async fn stream_body(
         &mut self,
         mut sender: BodySender,
         received: [Bytes; 2],
         mut body: Incoming,
+        request_deadline: Instant,
     ) -> Result<(), StreamError> {
         self.progress
             .allow_additional_bytes(WIRE_BYTES_PER_CHUNKED_BYTE * MAX_STREAMED_BODY_BYTES);
@@ -189,8 +267,13 @@
             let time_left =
                 Duration::from_secs_f64((deadline.due_ms() / 1e3 - waited.as_secs_f64()).max(0.0));
             let wait_began = Instant::now();
-            let chunk_timeout = time_left.min(STREAMING_STALL_TIMEOUT);
-            let Some(chunk) = self.next_chunk(&mut body, chunk_timeout).await? else {
+            let chunk_timeout = time_left
+                .min(STALL_TIMEOUT)
+                .max(request_deadline.saturating_duration_since(wait_began));
+            let chunk = tokio::time::timeout(chunk_timeout, self.next_chunk(&mut body))
+                .await
+                .map_err(|_| StreamError::Stalled)?;
+            let Some(chunk) = chunk? else {
                 break;
             };
             waited += wait_began.elapsed();
@@ -205,26 +288,37 @@
         sender.finish().await
     }
 
-    /// The next chunk of a body; `None` at its end. Trailers are not forwarded.
-    async fn next_chunk(
+    /// The next chunk of a body, if it arrives by then.
+    async fn next_chunk_by(
         &mut self,
         body: &mut Incoming,
-        timeout: Duration,
-    ) -> Result<Option<Bytes>, StreamError> {
+        by: Option<Instant>,
+    ) -> Result<NextChunk, StreamError> {
+        let chunk = self.next_chunk(body);
+        let chunk = match by {
+            Some(by) => match tokio::time::timeout_at(by.into(), chunk).await {
+                Ok(chunk) => chunk?,
+                Err(_) => return Ok(NextChunk::Late),
+            },
+            None => chunk.await?,
+        };
+        Ok(chunk.map_or(NextChunk::End, NextChunk::Data))
+    }
+
+    /// The next chunk of a body; `None` at its end. Trailers are not forwarded. Cancel safe.
+    async fn next_chunk(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, StreamError> {
         loop {
-            let frame = tokio::time::timeout(timeout, body.frame());
-            match self.drive(frame).await {
-                Ok(None) => return Ok(None),
-                Ok(Some(Ok(frame))) => {
+            match self.drive(body.frame()).await {
+                None => return Ok(None),
+                Some(Ok(frame)) => {
                     if let Ok(chunk) = frame.into_data() {
                         return Ok(Some(chunk));
                     }
                 }
-                Ok(Some(Err(error))) if error.is_incomplete_message() => {
+                Some(Err(error)) if error.is_incomplete_message() => {
                     return Err(StreamError::Connection(ConnectionError::Closed));
                 }
-                _ => {
-                    log::line("the body of a server's response is malformed or stalled");
+                Some(Err(_)) => {
                     return Err(StreamError::Connection(ConnectionError::InvalidResponse));
                 }
             }
@@ -265,6 +359,7 @@
         (AttemptResult::Served, Err(StreamError::Connection(_))) => {
             (AttemptResult::Malformed, None)
         }
+        (AttemptResult::Served, Err(StreamError::Stalled)) => (AttemptResult::TimedOut, None),
         // Not a fault of the server; the request may have run.
         (AttemptResult::Served, Err(StreamError::ReceiverGone | StreamError::MemoryExhausted)) => {
             (AttemptResult::Cancelled, None)
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -91,14 +91,11 @@
     let large = format!("HTTP/1.1 200 OK\r\nX-Endless: {}", "x".repeat(64 * 1024));
     let flood = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n".repeat(10_000);
     for malformed in [
-        "HTTP/1.1 200 OK\r\nContent-Len",
-        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nrooms: 3\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nrooms: 3\n",
         "HTTP/1.1 200 OK\r\nContent-Length: -9\r\n\r\nrooms: 3\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nContent-Length: 8\r\n\r\nrooms: 3\n",
         "HTTP/1.1 200 OK\r\n\r\nrooms: 3\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nrooms: 3\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nrooms: 3\n",
         "\x00\u{1}noise",
         &large,
         &flood,
@@ -126,6 +123,41 @@
     }
 }
 
+/// Guards against a response that never ends: the beginning of one that a sound server might still finish is awaited until
+/// the deadline, no second attempt is out meanwhile, and the client is answered in time.
+#[test]
+fn response_that_stalls_is_awaited_until_the_deadline_and_answered_in_time() {
+    const TIMEOUT: Duration = Duration::from_millis(1_200);
+    const MAX_LATENESS: Duration = Duration::from_millis(500);
+    for beginning in [
+        "HTTP/1.1 200 OK\r\nContent-Len",
+        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nrooms: 3\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nrooms: 3\n",
+        "HTTP/1.1 404 Not Found\r\nContent-Length: 12\r\n\r\nno su",
+    ] {
+        let server = Server::start(|_| Reply::Send(beginning.to_owned().into_bytes()));
+        let (node, _discovery, _watch) =
+            Node::start_with_servers(&[&server], TIMEOUT.as_millis() as u64);
+        let start = Instant::now();
+        let response = node.request(&post_request("a", "hold", "Idempotency-Key: 5c0f\r\n", "x"));
+        let elapsed = start.elapsed();
+        assert!(
+            [502, 503].contains(&response.status()),
+            "{beginning:?}: {}",
+            response.status()
+        );
+        assert!(
+            elapsed < TIMEOUT + MAX_LATENESS,
+            "{beginning:?}: answered after {elapsed:?}"
+        );
+        assert_eq!(server.requests().len(), 1, "{beginning:?}");
+        wait_until("the connection to the server is closed", || {
+            server.closed_connections() == 1
+        });
+    }
+}
+
 /// Guards against executing a request twice: the server has received it completely, so it may have run.
 #[test]
 fn non_idempotent_request_after_bad_response_is_not_retried() {
