A long request that a server reads slowly is answered in its client's time

Cause: the deadline of a streamed request began when the node had read its last byte. While a server reads slowly the node does not read, and the rest waits in the kernels of node and client, where the client counts it as sent. Class of bug: a span of time that counts from what the node sees, where the rule counts from what the peer did. Evidence: the attempt began 1.759 s after the client's last byte, by the node's own log, and lasted the client's wait less the node's margin.

The dispatcher asks for that time when a deadline passes, so that it moves on while the client is known to be sending. Related paths, under the same clock: waits for memory; the time that an attempt tells its server, which was the whole timeout also where the client had long sent everything; the deadline of a response to an upload, which was that of the attempt's start.

Failed tries: taking each empty read for a proof that the client still sends left 2 of 64 requests late by 0.6 and 1.2 s, since the socket is empty for a moment whenever the receive window opens again; proofs that need a pause of the client failed uploads of clients that send without one.

--- a/crates/flow-control/src/lib.rs
+++ b/crates/flow-control/src/lib.rs
@@ -3,9 +3,11 @@
 //! A [`MemoryBudget`] is the memory that all buffered bodies share: each buffer holds a
 //! [`Reservation`], which returns its bytes when it is dropped. A [`TransferDeadline`] is the time by
 //! which a peer must have transferred more data. It distinguishes a slow peer, which may continue, from
-//! a stalled one, which is abandoned.
+//! a stalled one, which is abandoned. An [`UploadClock`] estimates since when a client waits whose
+//! upload is held up.
 //!
-//! The crate uses no sockets and reads no clock. Times are milliseconds of any monotonic clock.
+//! The crate uses no sockets and reads no clock. Times are milliseconds of any monotonic clock, or
+//! instants.
 //!
 //! ```
 //! use flow_control::{MemoryBudget, TransferDeadline};
@@ -25,6 +27,8 @@
 
 mod memory_budget;
 mod transfer_rate;
+mod upload_clock;
 
 pub use memory_budget::{MemoryBudget, Reservation};
 pub use transfer_rate::TransferDeadline;
+pub use upload_clock::{UploadClock, MAX_UNSEEN_BYTES};
--- a/src/node/dispatcher/attempts.rs
+++ b/src/node/dispatcher/attempts.rs
@@ -65,6 +65,7 @@
         let Some(request) = in_flight.get_mut(&request_number) else {
             return;
         };
+        self.update_deadline(request_number, request);
         let (attempt, now) = (request.attempts, Instant::now());
         request.attempts += 1;
         if !self.may_send(request, attempt, now) {
@@ -88,9 +89,7 @@
         }
         // Checked again once a connection is available: a retry must not be sent late because its dial took long.
         message.send_deadline.set(request.retry_deadline);
-        let deadline = request
-            .timeout_after_upload
-            .map_or(request.deadline, |timeout| now + timeout);
+        let deadline = request.deadline;
         let dispatcher = Rc::clone(self);
         let on_streamed_response =
             move |response| dispatcher.handle_stream_start(request_number, attempt, response);
--- a/src/node/dispatcher/in_flight.rs
+++ b/src/node/dispatcher/in_flight.rs
@@ -17,15 +17,12 @@
 use super::Dispatcher;
 use crate::node::admin::log;
 use crate::node::upstream::servers::RunningAttempt;
-use crate::node::upstream::{RequestBody, UpstreamRequest, UpstreamResponse};
+use crate::node::upstream::{UpstreamRequest, UpstreamResponse};
 use balancer::{AttemptResult, Event, Idempotency, Request, RequestId, ServerId};
 
 /// Time before the end of a client's timeout at which the node stops waiting, so that its response still reaches the
 /// client in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
-/// Maximum duration of the upload of a request that is accepted before its last byte has arrived. The longest upload
-/// at the minimum transfer rate takes less.
-const MAX_UPLOAD_TIME: Duration = Duration::from_secs(20 * 60);
 /// Fraction of a deduplication window during which a retry may start, as it must also arrive within the window.
 const RETRY_WINDOW_FRACTION: f64 = 0.9;
 /// Minimum time between the last start of a retry and the end of its deduplication window: the node may be held up for
@@ -57,12 +54,47 @@
     pub key: Option<Box<str>>,
     /// The request as it is forwarded to servers.
     pub message: UpstreamRequest,
-    /// Arrival time of its last byte or, while its upload is in progress, the time at which it was accepted.
-    pub received_at: Instant,
+    /// When its last byte arrived.
+    pub arrival: Arrival,
     /// The client's timeout, which starts with the last byte of the request.
     pub timeout: Duration,
 }
 
+/// When the last byte of a request arrived.
+#[derive(Clone)]
+pub enum Arrival {
+    /// It arrived at this time.
+    Complete(Instant),
+    /// The upload is in progress.
+    InProgress(Rc<dyn UploadProgress>),
+}
+
+impl Arrival {
+    /// The earliest time at which the client may have sent the last byte.
+    fn earliest_end(&self) -> Instant {
+        match self {
+            Self::Complete(at) => *at,
+            Self::InProgress(upload) => upload.earliest_end(),
+        }
+    }
+}
+
+impl std::fmt::Debug for Arrival {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Complete(at) => f.debug_tuple("Complete").field(at).finish(),
+            Self::InProgress(_) => f.write_str("InProgress"),
+        }
+    }
+}
+
+/// An upload in progress.
+pub trait UploadProgress {
+    /// The earliest time at which the client may have sent the last byte, by all that is known now. It never goes back, and is
+    /// at most the current time.
+    fn earliest_end(&self) -> Instant;
+}
+
 /// An attempt in flight.
 pub(super) struct InFlightAttempt {
     pub(super) number: usize,
@@ -94,9 +126,11 @@
     /// The sender of the final response; `None` once that has been sent or the client has disconnected.
     pub(super) responder: Option<oneshot::Sender<FinalResponse>>,
     pub(super) message: Rc<UpstreamRequest>,
+    /// The end of the client's timeout, less the time for the response; the earliest possible one while the upload is in
+    /// progress.
     pub(super) deadline: Instant,
-    /// While the upload is in progress, the timeout that starts with its last byte.
-    pub(super) timeout_after_upload: Option<Duration>,
+    arrival: Arrival,
+    timeout: Duration,
     /// Number of attempts that the balancer requested, including those that were not sent.
     pub(super) attempts: usize,
     pub(super) attempt: Option<InFlightAttempt>,
@@ -112,16 +146,17 @@
     /// Creates a request without attempts, and the receiver of its final response.
     fn new(
         message: UpstreamRequest,
-        deadline: Instant,
-        timeout_after_upload: Option<Duration>,
+        arrival: Arrival,
+        timeout: Duration,
         retry_window: Option<Duration>,
     ) -> (Self, oneshot::Receiver<FinalResponse>) {
         let (responder, response) = oneshot::channel();
         let request = Self {
             responder: Some(responder),
             message: Rc::new(message),
-            deadline,
-            timeout_after_upload,
+            deadline: arrival.earliest_end() + timeout.saturating_sub(RESPONSE_MARGIN),
+            arrival,
+            timeout,
             attempts: 0,
             attempt: None,
             retry_deadline: None,
@@ -131,6 +166,11 @@
         (request, response)
     }
 
+    /// The deadline by all that is known now of the arrival of the last byte.
+    fn current_deadline(&self) -> Instant {
+        self.arrival.earliest_end() + self.timeout.saturating_sub(RESPONSE_MARGIN)
+    }
+
     /// Starts the retry window when an attempt that may have run was sent, `elapsed` ago. Only the first call has an
     /// effect.
     pub(super) fn start_retry_window(&mut self, elapsed: Duration) {
@@ -168,22 +208,16 @@
             tenant,
             key,
             message,
-            received_at,
+            arrival,
             timeout,
         } = request;
-        let is_uploading = matches!(message.body, RequestBody::Streamed(_));
-        let timeout_after_upload = Some(timeout).filter(|_| is_uploading);
-        let time_left = timeout_after_upload.map_or(timeout, |_| MAX_UPLOAD_TIME);
-        let deadline =
-            self.limit_to_shutdown(received_at + time_left.saturating_sub(RESPONSE_MARGIN));
         let retry_window = retry_window(self.names.rules[class].idempotency);
-        let (accepted, response) =
-            InFlightRequest::new(message, deadline, timeout_after_upload, retry_window);
+        let (mut accepted, response) =
+            InFlightRequest::new(message, arrival, timeout, retry_window);
+        let deadline = accepted.deadline;
+        self.set_deadline(request_number, &mut accepted, deadline);
+        let timeout = accepted.deadline.saturating_duration_since(Instant::now());
         self.in_flight.borrow_mut().insert(request_number, accepted);
-        self.timers
-            .set(deadline, TimerKind::Deadline(request_number));
-        let timeout = timeout_after_upload
-            .unwrap_or_else(|| deadline.saturating_duration_since(Instant::now()));
         self.handle_event(Event::Request(Request {
             id: RequestId(request_number),
             class,
@@ -222,27 +256,45 @@
         let timer = TimerKind::Deadline(request_number);
         self.timers.remove(request.deadline, timer);
         request.deadline = at;
+        request.message.deadline.set(Some(at));
         self.timers.set(at, timer);
     }
 
-    /// Handles the completion of an upload, with which the timeout of the request starts.
+    /// Handles the completion of an upload, whose last byte the client may have sent at `at` already.
     fn upload_completed(&self, request_number: u64, at: Instant) {
         let mut in_flight = self.in_flight.borrow_mut();
         let Some(request) = in_flight.get_mut(&request_number) else {
             return;
         };
-        let Some(timeout) = request.timeout_after_upload.take() else {
-            return;
-        };
+        request.arrival = Arrival::Complete(at);
         // The response time of the server starts here, too: until now it has waited for the client.
         if let Some(attempt) = &mut request.attempt {
-            attempt.sent_at = at;
+            attempt.sent_at = Instant::now();
         }
-        self.set_deadline(
-            request_number,
-            request,
-            at + timeout.saturating_sub(RESPONSE_MARGIN),
-        );
+        self.update_deadline(request_number, request);
+    }
+
+    /// Moves the deadline of a request on by all that is known now of the arrival of its last byte.
+    pub(super) fn update_deadline(&self, request_number: u64, request: &mut InFlightRequest) {
+        let deadline = request.current_deadline();
+        if deadline > request.deadline {
+            self.set_deadline(request_number, request, deadline);
+        }
+    }
+
+    /// Whether the deadline of a request has passed. Sets a later one while its client is known to be sending.
+    fn is_expired(&self, request_number: u64) -> bool {
+        let mut in_flight = self.in_flight.borrow_mut();
+        let Some(request) = in_flight.get_mut(&request_number) else {
+            return false;
+        };
+        self.update_deadline(request_number, request);
+        let is_expired = request.deadline <= Instant::now();
+        if is_expired {
+            self.timers
+                .remove(request.deadline, TimerKind::Deadline(request_number));
+        }
+        is_expired
     }
 
     /// Sends the final response, unless one has been sent or the client has disconnected.
@@ -265,6 +317,9 @@
     /// Handles the expiry of a request's deadline: its attempt in flight times out, and the request fails unless the
     /// balancer responds to that outcome.
     pub(super) fn expire_request(self: &Rc<Self>, request_number: u64) {
+        if !self.is_expired(request_number) {
+            return;
+        }
         if let Some(attempt) = self.abort_attempt(request_number, None) {
             self.notify_observer(attempt.server, AttemptResult::TimedOut);
             self.report_outcome(request_number, attempt.ended(AttemptResult::TimedOut));
@@ -299,6 +354,8 @@
             .borrow_mut()
             .get_mut(&request_number)
             .and_then(|request| {
+                // The upload refers to the client's connection.
+                request.arrival = Arrival::Complete(request.arrival.earliest_end());
                 // Where the settings forbid cancellation, its attempt may still be waiting for a connection.
                 request.message.send_deadline.set(Some(Instant::now()));
                 let responder = request.responder.take()?;
@@ -312,6 +369,19 @@
     }
 }
 
+/// Receives the report that the upload of a request, which was in progress when the request was accepted, is complete.
+pub struct UploadCompletion {
+    dispatcher: Rc<Dispatcher>,
+    request_number: u64,
+}
+
+impl UploadCompletion {
+    /// Reports that all of the upload has been read. The client may have sent its last byte at `at` already.
+    pub fn report(&self, at: Instant) {
+        self.dispatcher.upload_completed(self.request_number, at);
+    }
+}
+
 /// A request that the dispatcher has accepted. Dropping the handle before the final response reports that the client
 /// has disconnected.
 pub struct RequestHandle {
@@ -321,9 +391,13 @@
 }
 
 impl RequestHandle {
-    /// Reports that the request's upload, which was in progress when the request was accepted, was completed at `at`.
-    pub fn upload_completed(&self, at: Instant) {
-        self.dispatcher.upload_completed(self.request_number, at);
+    /// Returns what the upload of the request reports its completion to.
+    #[must_use]
+    pub fn upload_completion(&self) -> UploadCompletion {
+        UploadCompletion {
+            dispatcher: Rc::clone(&self.dispatcher),
+            request_number: self.request_number,
+        }
     }
 
     /// Waits for the final response. Must not be called again once it has returned. Cancel safe: a dropped future
--- a/src/node/dispatcher/mod.rs
+++ b/src/node/dispatcher/mod.rs
@@ -22,7 +22,9 @@
 use admin::Metrics;
 use tokio::sync::Notify;
 
-pub use self::in_flight::{FinalResponse, NewRequest, RequestHandle};
+pub use self::in_flight::{
+    Arrival, FinalResponse, NewRequest, RequestHandle, UploadCompletion, UploadProgress,
+};
 pub use self::settings_names::{ClassRule, SettingNames};
 
 use self::attempts::AttemptObserver;
--- a/src/node/downstream/connection.rs
+++ b/src/node/downstream/connection.rs
@@ -121,7 +121,7 @@
             "the length is told in more than one way\n",
         )
     } else {
-        handle_request(request, state, connection).await
+        handle_request(request, state, socket).await
     };
     connection.enter(Stage::SendingResponse);
     connection.set_streaming(matches!(response.body(), ResponseStream::Streamed(..)));
--- a/src/node/downstream/framing.rs
+++ b/src/node/downstream/framing.rs
@@ -113,6 +113,17 @@
         };
     }
 
+    /// Returns the number of bytes that are still to be received of the current body; `None` if only hyper can determine its
+    /// end.
+    #[must_use]
+    pub fn remaining_body_bytes(&self) -> Option<u64> {
+        match &self.position {
+            Position::Head(_) => Some(0),
+            Position::Body { remaining_bytes } => Some(*remaining_bytes),
+            Position::Unknown => None,
+        }
+    }
+
     /// Returns whether no byte of a message has been received since the previous message ended.
     #[must_use]
     pub fn is_between_messages(&self) -> bool {
--- a/src/node/downstream/request_body.rs
+++ b/src/node/downstream/request_body.rs
@@ -1,17 +1,20 @@
 //! Uploads: reads a request's body from the client, buffers as much as the limits permit, and streams the rest.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use flow_control::{MemoryBudget, Reservation, TransferDeadline};
+use flow_control::{MemoryBudget, Reservation, TransferDeadline, UploadClock};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use crate::node::dispatcher::{UploadCompletion, UploadProgress};
 use crate::node::downstream::body_stream::BodySender;
 use crate::node::downstream::connection_table::TrackedConnection;
 use crate::node::downstream::response::InvalidRequest;
 use crate::node::downstream::server::ServerState;
+use crate::node::downstream::socket::Socket;
 use crate::node::memory::{
     max_wait, reserve_within, try_reserve_large_chunks, MAX_UNRESERVED_BYTES, STREAM_BYTES,
 };
@@ -19,6 +22,10 @@
     MAX_BUFFERED_REQUEST_BYTES, MAX_SHORT_BODY_BYTES, MAX_STREAMED_BODY_BYTES,
 };
 
+/// Time for which a client has to leave the node without bytes to be taken for one that is still sending: longer than bytes
+/// take that were held back in its kernel, once the node reads again.
+const MIN_CLIENT_WAIT: Duration = Duration::from_millis(20);
+
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum UploadError {
@@ -42,6 +49,72 @@
     max_memory_wait: Duration,
     /// Time that has been spent waiting for memory.
     memory_wait: Duration,
+    end: Rc<UploadEnd>,
+}
+
+/// What an upload waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UploadWait {
+    /// The client's next bytes.
+    Client,
+    /// Memory, an attempt, or the server that reads it.
+    Node,
+}
+
+/// When the client may have sent the last byte of an upload, by the times for which the upload waits and by the state of its
+/// socket.
+struct UploadEnd {
+    clock: RefCell<UploadClock>,
+    wait: Cell<(UploadWait, Instant)>,
+    socket: Socket,
+}
+
+impl UploadEnd {
+    fn new(socket: &Socket) -> Self {
+        Self {
+            clock: RefCell::default(),
+            wait: Cell::new((UploadWait::Client, Instant::now())),
+            socket: socket.clone(),
+        }
+    }
+
+    /// Records that the upload waits for something else from now on.
+    fn wait_for(&self, wait: UploadWait) {
+        let now = Instant::now();
+        let (previous, since) = self.wait.replace((wait, now));
+        let mut clock = self.clock.borrow_mut();
+        match (previous, wait) {
+            (UploadWait::Client, _) if now - since >= MIN_CLIENT_WAIT => {
+                clock.record_incomplete(now);
+            }
+            _ => {}
+        }
+        match wait {
+            UploadWait::Client => clock.resume(now),
+            UploadWait::Node => clock.hold(now),
+        }
+    }
+
+    /// Whether the client is known to be sending: it has left the node without bytes for a while.
+    fn is_client_sending(&self, now: Instant) -> bool {
+        let (wait, since) = self.wait.get();
+        now - since >= MIN_CLIENT_WAIT
+            && match wait {
+                UploadWait::Client => !self.socket.has_unread_bytes(),
+                UploadWait::Node => self.socket.awaits_more_of_body(),
+            }
+    }
+}
+
+impl UploadProgress for UploadEnd {
+    fn earliest_end(&self) -> Instant {
+        let now = Instant::now();
+        let mut clock = self.clock.borrow_mut();
+        if self.is_client_sending(now) {
+            clock.record_incomplete(now);
+        }
+        clock.earliest_end(now)
+    }
 }
 
 /// The part of a body that has been buffered.
@@ -109,9 +182,10 @@
 
 impl IncomingUpload {
     /// Creates an upload that begins at `now_ms` on the dispatcher's clock. Its client waits for `timeout`.
-    pub(super) fn new(body: Incoming, now_ms: f64, timeout: Duration) -> Self {
+    pub(super) fn new(body: Incoming, now_ms: f64, timeout: Duration, socket: &Socket) -> Self {
         Self {
             body,
+            end: Rc::new(UploadEnd::new(socket)),
             deadline: TransferDeadline::for_upload(now_ms),
             max_memory_wait: max_wait(timeout),
             memory_wait: Duration::ZERO,
@@ -123,6 +197,11 @@
         self.memory_wait
     }
 
+    /// Returns what is known about the time of the upload's last byte.
+    pub(super) fn progress(&self) -> Rc<dyn UploadProgress> {
+        Rc::clone(&self.end) as Rc<dyn UploadProgress>
+    }
+
     /// Waits for memory.
     async fn reserve(
         &mut self,
@@ -131,7 +210,9 @@
     ) -> Result<Reservation, UploadError> {
         let started = Instant::now();
         let max_wait = self.max_memory_wait.saturating_sub(self.memory_wait);
+        self.end.wait_for(UploadWait::Node);
         let reservation = reserve_within(budget, bytes, max_wait).await;
+        self.end.wait_for(UploadWait::Client);
         let waited = started.elapsed();
         self.memory_wait += waited;
         self.deadline.exclude_pause(waited.as_secs_f64() * 1e3);
@@ -160,6 +241,11 @@
                 frame.map_err(|_| InvalidRequest::bad_request("the body is malformed\n"))?;
             if let Ok(chunk) = frame.into_data() {
                 self.deadline.record_bytes(chunk.len());
+                self.end.clock.borrow_mut().record_read(
+                    Instant::now(),
+                    chunk.len() as u64,
+                    self.remaining_bytes(),
+                );
                 return Ok(Some(chunk));
             }
         }
@@ -241,7 +327,8 @@
         self.reserve(budget, STREAM_BYTES).await.map(Rc::new)
     }
 
-    /// Streams the rest of the body to the attempt that sends it. Returns `false` if that attempt accepts no more of it.
+    /// Streams the rest of the body to the attempt that sends it, as long as that accepts it. Reports to `completion` when all
+    /// of it has been read.
     ///
     /// # Errors
     ///
@@ -249,23 +336,33 @@
     pub(super) async fn stream_to(
         &mut self,
         mut sender: BodySender,
+        completion: UploadCompletion,
         state: &ServerState,
-    ) -> Result<bool, InvalidRequest> {
+    ) -> Result<(), InvalidRequest> {
         let mut streamed_bytes = 0;
         while let Some(chunk) = self.next_chunk(state).await? {
             streamed_bytes += chunk.len();
             if streamed_bytes > MAX_STREAMED_BODY_BYTES {
                 return Err(InvalidRequest::BODY_TOO_LARGE);
             }
+            if self.remaining_bytes() == Some(0) {
+                completion.report(self.end.earliest_end());
+            }
             let send_started_ms = state.dispatcher.now_ms();
+            self.end.wait_for(UploadWait::Node);
             if sender.send(chunk).await.is_err() {
-                return Ok(false);
+                return Ok(());
             }
+            self.end.wait_for(UploadWait::Client);
             // Time spent waiting for the server does not count against the client.
             self.deadline
                 .exclude_pause(state.dispatcher.now_ms() - send_started_ms);
         }
-        Ok(sender.finish().await.is_ok())
+        if self.remaining_bytes() != Some(0) {
+            completion.report(self.end.earliest_end());
+        }
+        let _ = sender.finish().await; // A receiver that has all bytes need not take the end marker.
+        Ok(())
     }
 }
 
--- a/src/node/downstream/request_handler.rs
+++ b/src/node/downstream/request_handler.rs
@@ -12,7 +12,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 
-use crate::node::dispatcher::{FinalResponse, NewRequest};
+use crate::node::dispatcher::{Arrival, FinalResponse, NewRequest};
 use crate::node::downstream::body_stream::{body_stream, ResponseStream, Upload};
 use crate::node::downstream::connection_table::TrackedConnection;
 use crate::node::downstream::request_body::{BufferedBody, IncomingUpload, UploadError};
@@ -24,6 +24,7 @@
 };
 use crate::node::downstream::server::ServerState;
 use crate::node::downstream::shutdown::Phase;
+use crate::node::downstream::socket::Socket;
 use crate::node::memory::{LONG_HEAD_BYTES, MAX_UNRESERVED_HEADERS};
 use crate::node::upstream::response::MAX_STREAMED_BODY_BYTES;
 use crate::node::upstream::{RequestBody, UpstreamRequest};
@@ -39,11 +40,11 @@
 pub(super) async fn handle_request(
     request: Request<Incoming>,
     state: &ServerState,
-    connection: &Rc<TrackedConnection>,
+    socket: &Socket,
 ) -> Response<ResponseStream> {
     match request.uri().path() {
         "/up" => readiness_response(request.method(), state),
-        "/api" => handle_api_request(request, state, connection)
+        "/api" => handle_api_request(request, state, socket)
             .await
             .unwrap_or_else(|invalid| text_response(invalid.status, invalid.reason)),
         _ => text_response(StatusCode::NOT_FOUND, "no such path\n"),
@@ -84,8 +85,9 @@
 async fn handle_api_request(
     request: Request<Incoming>,
     state: &ServerState,
-    connection: &Rc<TrackedConnection>,
+    socket: &Socket,
 ) -> Result<Response<ResponseStream>, InvalidRequest> {
+    let connection = &socket.connection;
     let (mut head, body) = request.into_parts();
     if !reserve_head_memory(&head, state, connection) {
         return Ok(rejection_response(Some(FREE_MEMORY_RETRY_MS)));
@@ -93,7 +95,7 @@
     detach_head(&mut head);
     let metadata = RequestMetadata::parse(&head.method, &head.headers, &state.dispatcher.names)?;
     let in_flight = state.dispatcher.metrics.begin_request(metadata.class);
-    let response = match dispatch(metadata, head, body, connection, state).await {
+    let response = match dispatch(metadata, head, body, socket, state).await {
         Ok(FinalResponse::Served(served)) => {
             return Ok(forwarded_response(served, in_flight, connection))
         }
@@ -144,7 +146,7 @@
     metadata: RequestMetadata,
     head: Parts,
     body: Incoming,
-    connection: &Rc<TrackedConnection>,
+    socket: &Socket,
     state: &ServerState,
 ) -> Result<FinalResponse, InvalidRequest> {
     if body.size_hint().lower() > MAX_STREAMED_BODY_BYTES as u64 {
@@ -160,8 +162,9 @@
     let _open_id =
         OpenRequestId::reserve(&state.open_request_ids, id).ok_or(InvalidRequest::DUPLICATE_ID)?;
     let sticky_key = head.uri.query().and_then(sticky_key);
+    let connection = &socket.connection;
     let head_memory = connection.read_buffer_memory();
-    let mut upload = IncomingUpload::new(body, dispatcher.now_ms(), deadline);
+    let mut upload = IncomingUpload::new(body, dispatcher.now_ms(), deadline, socket);
     let buffered = match upload.buffer(connection, state).await {
         Ok(buffered) => buffered,
         Err(UploadError::Invalid(invalid)) => return Err(invalid),
@@ -171,22 +174,22 @@
             })
         }
     };
-    // The deadline counts from the last byte of the request, which may have arrived before the node waited for memory; for
-    // a streamed body, `upload_completed` restarts it.
-    let received_at = Instant::now() - upload.memory_wait();
     if must_keep_connections_free(state) {
         return Ok(FinalResponse::Rejected {
             retry_after_ms: Some(FREE_CONNECTION_RETRY_MS),
         });
     }
-    let mut timeout = deadline;
-    let (body, upload_sender) = match buffered {
-        BufferedBody::Complete(body) => (RequestBody::Buffered(body), None),
+    let (body, arrival, upload_sender) = match buffered {
+        BufferedBody::Complete(body) => {
+            // The last byte may have arrived before the node waited for memory.
+            let arrival = Arrival::Complete(Instant::now() - upload.memory_wait());
+            (RequestBody::Buffered(body), arrival, None)
+        }
         BufferedBody::Prefix(prefix, reservation) => {
-            timeout = deadline.saturating_sub(upload.memory_wait());
             let (sender, rest) = body_stream(upload.remaining_bytes());
             let body = RequestBody::Streamed(Upload::new(prefix, rest, reservation));
-            (body, Some(sender))
+            let arrival = Arrival::InProgress(upload.progress());
+            (body, arrival, Some(sender))
         }
     };
     let sent_attempts = dispatcher.metrics.attempts(class).clone();
@@ -196,8 +199,8 @@
         tenant,
         key: sticky_key,
         message,
-        received_at,
-        timeout,
+        arrival,
+        timeout: deadline,
     };
     let Some(mut request) = dispatcher.accept_request(new_request) else {
         return Ok(FinalResponse::Rejected {
@@ -205,13 +208,11 @@
         });
     };
     if let Some(sender) = upload_sender {
-        let is_complete = tokio::select! {
+        let completion = request.upload_completion();
+        tokio::select! {
             biased;
             response = request.response() => return Ok(response),
-            streamed = upload.stream_to(sender, state) => streamed?,
-        };
-        if is_complete {
-            request.upload_completed(Instant::now());
+            streamed = upload.stream_to(sender, completion, state) => streamed?,
         }
     }
     Ok(request.response().await)
@@ -243,6 +244,7 @@
         headers,
         body,
         sent_attempts,
+        deadline: Cell::default(),
         send_deadline: Cell::default(),
         head_memory,
     }
--- a/src/node/downstream/socket.rs
+++ b/src/node/downstream/socket.rs
@@ -31,6 +31,10 @@
 /// for a client that disconnected 100 ms ago.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Number of unread bytes in the kernel from which on it may not accept more, so that more may wait in the client's kernel: far
+/// below the smallest receive window.
+const MIN_HELD_BACK_BYTES: usize = 16 * 1024;
+
 /// No memory for a long head is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct HeadMemoryExhausted;
@@ -90,10 +94,27 @@
     /// Returns whether the kernel holds received bytes that have not been read.
     #[must_use]
     pub fn has_unread_bytes(&self) -> bool {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
+        self.peek_unread::<1>() > 0
+    }
+
+    /// Returns the number of received bytes that the kernel holds, up to `MAX`.
+    fn peek_unread<const MAX: usize>(&self) -> usize {
+        let mut bytes = [std::mem::MaybeUninit::uninit(); MAX];
         let stream = self.stream.borrow();
-        let peeked = uninterrupted(|| SockRef::from(stream.get_ref()).peek(&mut byte));
-        matches!(peeked, Ok(bytes) if bytes > 0)
+        let peeked = uninterrupted(|| SockRef::from(stream.get_ref()).peek(&mut bytes));
+        peeked.unwrap_or(0)
+    }
+
+    /// Returns whether bytes of the body that is being received are still to come, from a client that can send them: the
+    /// kernel of the node accepts more. `false` also if that cannot be told, as with a chunked body.
+    #[must_use]
+    pub fn awaits_more_of_body(&self) -> bool {
+        let Some(remaining_bytes) = self.framing.borrow().remaining_body_bytes() else {
+            return false;
+        };
+        let unread_bytes =
+            self.read_ahead.borrow().len() + self.peek_unread::<MIN_HELD_BACK_BYTES>();
+        unread_bytes < MIN_HELD_BACK_BYTES && (unread_bytes as u64) < remaining_bytes
     }
 
     /// Waits until the client disconnects while its request is being served; at other times hyper detects this. A client
--- a/src/node/upstream/http1/connection.rs
+++ b/src/node/upstream/http1/connection.rs
@@ -90,10 +90,12 @@
         mut self,
         exchange: Exchange<'_>,
     ) -> Result<AttemptOutcome, ExchangeError> {
-        let deadline = Instant::now() + exchange.remaining;
+        let first_deadline = Instant::now() + exchange.remaining;
         let sent = self.send(exchange).await;
         let error = match sent {
             Ok(response) if self.progress.bytes_sent() == BytesSent::Complete => {
+                // It has moved on if the client was still sending when the attempt began.
+                let deadline = exchange.request.deadline.get().unwrap_or(first_deadline);
                 return Ok(self.read_response(response, exchange, deadline).await);
             }
             Ok(response) => match early_outcome(&response) {
@@ -117,7 +119,6 @@
         self.progress
             .begin(&exchange.request.sent_attempts, &exchange.memory.heads);
         let body = AttemptBody::new(exchange.request, &self.progress);
-        let send_stall_timeout = STALL_TIMEOUT.min(exchange.remaining);
         let request = hyper_request(exchange.request, exchange.remaining, body);
         let response = self.sender.send_request(request);
         tokio::select! {
@@ -133,11 +134,11 @@
                     }
                 })
             }
-            () = self.progress.wait_for_send_stall(send_stall_timeout) => {
+            () = self.progress.wait_for_send_stall(STALL_TIMEOUT) => {
                 log::request_line(format_args!(
                     "request {}: a server read none of it for {} ms",
                     exchange.request.client_id(),
-                    send_stall_timeout.as_millis()
+                    STALL_TIMEOUT.as_millis()
                 ));
                 Err(ConnectionError::Stalled)
             }
--- a/src/node/upstream/http1/request_body/tests.rs
+++ b/src/node/upstream/http1/request_body/tests.rs
@@ -16,6 +16,7 @@
         headers: HeaderMap::new(),
         body,
         sent_attempts: Counter::default(),
+        deadline: Cell::default(),
         send_deadline: Cell::default(),
         head_memory: None,
     })
--- a/src/node/upstream/http1/response_reader.rs
+++ b/src/node/upstream/http1/response_reader.rs
@@ -33,6 +33,9 @@
 /// Time before the deadline of a request at which a response of unannounced length begins to be streamed. The dispatcher ends
 /// an attempt at the deadline.
 const STREAM_START_MARGIN: Duration = Duration::from_millis(20);
+/// Time after the head of a response from which on a chunk shows that its server pauses and goes on. A response that stalls for
+/// good usually does so at once.
+const MIN_PAUSE: Duration = Duration::from_millis(50);
 /// Size on the wire of a chunk with one byte of data (`1\r\nx\r\n`), the largest overhead of the chunked coding.
 const WIRE_BYTES_PER_CHUNKED_BYTE: usize = 6;
 
@@ -171,7 +174,7 @@
     }
 
     /// Buffers a body until it is complete, or has to be streamed: because it is too long or, if its length is not announced,
-    /// because the deadline is near and a server that writes it slowly must not be cut off.
+    /// because the deadline is near and its server still writes it, with pauses.
     async fn buffer_body(
         &mut self,
         body: &mut Incoming,
@@ -186,8 +189,10 @@
         let mut stream_from = Some(memory.deadline - STREAM_START_MARGIN)
             .filter(|_| may_stream && content_length.is_none());
         let mut buffered = BufferedBody::default();
+        let began_at = Instant::now();
+        let mut has_paused = false;
         loop {
-            let buffered_until = stream_from.filter(|_| !buffered.bytes.is_empty());
+            let buffered_until = stream_from.filter(|_| has_paused);
             let chunk = match self.next_chunk_by(body, buffered_until).await? {
                 NextChunk::Data(chunk) => chunk,
                 NextChunk::End => return Ok(BufferedPart::Complete(buffered.freeze())),
@@ -203,6 +208,7 @@
                     });
                 }
             };
+            has_paused |= began_at.elapsed() >= MIN_PAUSE;
             let required = buffered.bytes.len() + chunk.len();
             if required > max_bytes {
                 return Ok(BufferedPart::Beginning {
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -43,6 +43,9 @@
     pub body: RequestBody,
     /// Counter of attempts whose last byte has been sent.
     pub sent_attempts: Counter,
+    /// The time by which its client must have a response; the earliest possible one while the client may still be sending.
+    /// `None` if it has none.
+    pub deadline: Cell<Option<Instant>>,
     /// The time from which on no attempt may start to send the request; `None` without a limit.
     pub send_deadline: Cell<Option<Instant>>,
     /// The reservation of a long head, which the client's connection shares.
--- a/src/node/upstream/servers/tests.rs
+++ b/src/node/upstream/servers/tests.rs
@@ -16,6 +16,7 @@
         headers: HeaderMap::new(),
         body: RequestBody::Buffered(Bytes::new()),
         sent_attempts: admin::Counter::default(),
+        deadline: std::cell::Cell::default(),
         send_deadline: std::cell::Cell::default(),
         head_memory: None,
     })
--- a/tests/slow_servers.rs
+++ b/tests/slow_servers.rs
@@ -50,6 +50,8 @@
 const PAUSING_SERVERS: usize = 16;
 /// Number of nodes that run at a time.
 const CONCURRENT_NODES: usize = 8;
+/// Time between two reads of a server that reads at a limited speed.
+const READ_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for which the clients of requests to slow readers wait.
 const SLOW_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -444,3 +446,71 @@
         requests.len()
     );
 }
+
+/// Reads at a limited speed.
+struct SlowReader {
+    stream: TcpStream,
+    bytes_per_second: usize,
+}
+
+impl Read for SlowReader {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        thread::sleep(READ_INTERVAL);
+        let max_bytes = self.bytes_per_second / (1_000 / READ_INTERVAL.as_millis() as usize);
+        let max_bytes = max_bytes.min(buffer.len());
+        self.stream.read(&mut buffer[..max_bytes])
+    }
+}
+
+/// Starts a server that reads requests at this speed and then serves them.
+fn start_steady_reader(bytes_per_second: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
+    let address = listener.local_addr().expect("read the local address");
+    SockRef::from(&listener)
+        .set_tcp_mss(NETWORK_SEGMENT_BYTES)
+        .expect("set the segment size");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || {
+                let reader = SlowReader {
+                    stream: stream.try_clone().ok()?,
+                    bytes_per_second,
+                };
+                let request = Message::read(&mut BufReader::with_capacity(64 * KIB, reader))?;
+                let body = request.body.len().to_string();
+                stream.write_all(&response("200 OK", "", &body)).ok()
+            });
+        }
+    });
+    address
+}
+
+/// Guards against failing a request early whose client is still sending it: its time begins with its last byte.
+#[test]
+fn long_request_that_its_client_sends_for_longer_than_its_timeout_is_served() {
+    const LENGTH: usize = 3_000_000;
+    const PIECES: usize = 75;
+    const PIECE_INTERVAL: Duration = Duration::from_millis(40);
+    let mut plans = Vec::new();
+    for bytes_per_second in [3_000_000, 30_000_000] {
+        for framing in [Framing::ContentLength, Framing::Chunked] {
+            plans.extend(CLASSES.map(|class| (bytes_per_second, framing, class)));
+        }
+    }
+    let failures = failures(plans.len(), plans.len(), |number| {
+        let (bytes_per_second, framing, class) = plans[number];
+        let server = start_steady_reader(bytes_per_second);
+        let (node, _discovery) = start_node(&[server], SLOW_REQUEST_TIMEOUT);
+        let mut stream = TcpStream::connect(node.address).expect("connect to the node");
+        let message = request("slow", class, SLOW_REQUEST_TIMEOUT, framing, LENGTH);
+        for piece in message.chunks(message.len() / PIECES + 1) {
+            thread::sleep(PIECE_INTERVAL);
+            let _ = stream.write_all(piece); // Fails if the node has answered early.
+        }
+        let response = Message::read(&mut BufReader::new(&stream));
+        let body = response.map(|response| String::from_utf8_lossy(&response.body).into_owned());
+        (body != Some(LENGTH.to_string()))
+            .then(|| format!("{class} {framing:?} at {bytes_per_second} bytes/s: {body:?}"))
+    });
+    assert!(failures.is_empty(), "{failures:#?}");
+}
