A request whose client left does not run again under its id, nor after the close

Cause, twice the same class of bug: the end of the node's own work was taken for the end of the request. The id was free once the handler had returned, so while a long response was on its way and while a server still worked for a client that had left, the id ran again. And a request that waited unread was served next, though its client's close waited behind it: the close shows only once all bytes before it have been read.

Before a request that arrived ahead of the last response is served, the node looks for the reset with which the kernel of a client that has gone answers that response.

--- a/src/node/dispatcher/attempts.rs
+++ b/src/node/dispatcher/attempts.rs
@@ -131,6 +131,7 @@
             let elapsed = current.sent_at.elapsed();
             current.streaming_after = Some(elapsed.saturating_sub(response.memory_wait));
             if let Some(responder) = request.responder.take() {
+                request.message.record_served();
                 let _ = responder.send(FinalResponse::Served(response)); // Fails if the client has disconnected.
             }
         }
@@ -164,6 +165,7 @@
                 response,
                 request.responder.take_if(|_| is_final(outcome.result)),
             ) {
+                request.message.record_served();
                 let _ = responder.send(FinalResponse::Served(response)); // A disconnect is handled separately.
             }
             let elapsed = current
@@ -195,8 +197,7 @@
             let mut request = in_flight.get_mut(&request_number);
             if let Some(request) = &mut request {
                 if result.may_have_run() {
-                    request.may_have_run = true;
-                    request.start_retry_window(elapsed);
+                    request.record_possible_run(elapsed);
                 }
                 let name = AttemptName {
                     request: &request.message,
--- a/src/node/dispatcher/in_flight.rs
+++ b/src/node/dispatcher/in_flight.rs
@@ -140,6 +140,7 @@
     pub(super) retry_window: Option<Duration>,
     /// Whether an attempt that has ended may have run.
     pub(super) may_have_run: bool,
+    idempotency: Idempotency,
 }
 
 impl InFlightRequest {
@@ -148,7 +149,7 @@
         message: UpstreamRequest,
         arrival: Arrival,
         timeout: Duration,
-        retry_window: Option<Duration>,
+        idempotency: Idempotency,
     ) -> (Self, oneshot::Receiver<FinalResponse>) {
         let (responder, response) = oneshot::channel();
         let request = Self {
@@ -160,8 +161,9 @@
             attempts: 0,
             attempt: None,
             retry_deadline: None,
-            retry_window,
+            retry_window: retry_window(idempotency),
             may_have_run: false,
+            idempotency,
         };
         (request, response)
     }
@@ -171,9 +173,18 @@
         self.arrival.earliest_end() + self.timeout.saturating_sub(RESPONSE_MARGIN)
     }
 
+    /// Records that an attempt that was sent `elapsed` ago may have run.
+    pub(super) fn record_possible_run(&mut self, elapsed: Duration) {
+        self.may_have_run = true;
+        self.start_retry_window(elapsed);
+        if self.idempotency != Idempotency::Idempotent {
+            self.message.record_possible_run();
+        }
+    }
+
     /// Starts the retry window when an attempt that may have run was sent, `elapsed` ago. Only the first call has an
     /// effect.
-    pub(super) fn start_retry_window(&mut self, elapsed: Duration) {
+    fn start_retry_window(&mut self, elapsed: Duration) {
         let deadline = self
             .retry_window
             .and_then(|window| (Instant::now() - elapsed).checked_add(window));
@@ -211,9 +222,8 @@
             arrival,
             timeout,
         } = request;
-        let retry_window = retry_window(self.names.rules[class].idempotency);
-        let (mut accepted, response) =
-            InFlightRequest::new(message, arrival, timeout, retry_window);
+        let idempotency = self.names.rules[class].idempotency;
+        let (mut accepted, response) = InFlightRequest::new(message, arrival, timeout, idempotency);
         let deadline = accepted.deadline;
         self.set_deadline(request_number, &mut accepted, deadline);
         let timeout = accepted.deadline.saturating_duration_since(Instant::now());
--- a/src/node/downstream/connection.rs
+++ b/src/node/downstream/connection.rs
@@ -114,6 +114,9 @@
 ) -> Response<ResponseStream> {
     let connection = &socket.connection;
     socket.guard.begin_request();
+    if socket.detect_reset() {
+        return std::future::pending().await; // The connection's task ends with the client's disconnect.
+    }
     let is_ambiguous = socket.framing.borrow().is_ambiguous(number);
     let mut response = if is_ambiguous {
         text_response(
--- a/src/node/downstream/connection_table.rs
+++ b/src/node/downstream/connection_table.rs
@@ -270,7 +270,7 @@
     pub fn record_flushed(&self) -> bool {
         let is_complete = self.connection.is_response_complete();
         if is_complete {
-            self.connection.release_response_memory();
+            self.connection.end_request();
             self.connection.enter(Stage::Idle);
             self.table.record_idle(&self.connection);
         }
@@ -281,7 +281,7 @@
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         // The queues of idle connections may refer to the connection for longer.
-        self.connection.release_memory();
+        self.connection.release_all();
         if self.connection.request_count() > 0 {
             self.table
                 .used_connections
--- a/src/node/downstream/connection_table/tracked_connection.rs
+++ b/src/node/downstream/connection_table/tracked_connection.rs
@@ -8,6 +8,8 @@
 use flow_control::Reservation;
 use tokio::sync::Notify;
 
+use crate::node::downstream::request_ids::OpenRequestId;
+
 /// Maximum time from the first byte of a request's head to the last; for the first head on a connection, from the accept.
 /// Slow clients take 2 s; a client that takes longer occupies a slot to no purpose.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_400);
@@ -55,6 +57,8 @@
     close_request: Notify,
     /// The memory of a streamed response that is being written.
     response_memory: RefCell<Option<Reservation>>,
+    /// The id of the request whose response has not been written yet.
+    request_id: RefCell<Option<Rc<OpenRequestId>>>,
     /// The memory of a read buffer that has grown for a long head or for large reads. The buffer keeps its size, so this is
     /// held until the close.
     read_buffer_memory: RefCell<Option<Rc<Reservation>>>,
@@ -75,6 +79,7 @@
             is_close_requested: Cell::new(false),
             close_request: Notify::new(),
             response_memory: RefCell::default(),
+            request_id: RefCell::default(),
             read_buffer_memory: RefCell::default(),
             has_large_reads: Cell::new(false),
         }
@@ -144,13 +149,22 @@
         self.response_memory.replace(Some(reservation));
     }
 
-    /// Releases the memory of the response, whose last byte has been written.
-    pub(super) fn release_response_memory(&self) {
+    /// Holds the id of a request until the last byte of its response has been written or the connection is closed.
+    pub fn hold_request_id(&self, id: Rc<OpenRequestId>) {
+        self.request_id.replace(Some(id));
+    }
+
+    /// Releases what belongs to the request whose response has been written.
+    pub(super) fn end_request(&self) {
+        if let Some(id) = self.request_id.take() {
+            id.record_written();
+        }
         self.response_memory.take();
     }
 
-    /// Releases all memory of the connection, which has been closed.
-    pub(super) fn release_memory(&self) {
+    /// Releases all that the connection holds, which has been closed.
+    pub(super) fn release_all(&self) {
+        self.request_id.take();
         self.response_memory.take();
         self.read_buffer_memory.take();
     }
--- a/src/node/downstream/mod.rs
+++ b/src/node/downstream/mod.rs
@@ -8,6 +8,7 @@
 pub(in crate::node) mod inherited;
 mod request_body;
 mod request_handler;
+pub mod request_ids;
 mod request_metadata;
 mod response;
 pub mod server;
--- a/src/node/downstream/request_handler.rs
+++ b/src/node/downstream/request_handler.rs
@@ -1,7 +1,6 @@
 //! Routes requests by their path. Passes API requests to the dispatcher and waits for their final responses.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -16,6 +15,7 @@
 use crate::node::downstream::body_stream::{body_stream, ResponseStream, Upload};
 use crate::node::downstream::connection_table::TrackedConnection;
 use crate::node::downstream::request_body::{BufferedBody, IncomingUpload, UploadError};
+use crate::node::downstream::request_ids::OpenRequestId;
 use crate::node::downstream::request_metadata::{
     remove_hop_by_hop_headers, sticky_key, RequestMetadata,
 };
@@ -61,27 +61,6 @@
     text_response(StatusCode::OK, "")
 }
 
-/// Reserves the id of a request while the request is in progress.
-struct OpenRequestId<'a> {
-    ids: &'a RefCell<HashSet<HeaderValue>>,
-    id: HeaderValue,
-}
-
-impl<'a> OpenRequestId<'a> {
-    /// Reserves the id; `None` if a request with the same id is in progress. A server would consider the second request a
-    /// retry of the first.
-    fn reserve(ids: &'a RefCell<HashSet<HeaderValue>>, id: HeaderValue) -> Option<Self> {
-        let is_new = ids.borrow_mut().insert(id.clone());
-        is_new.then(|| Self { ids, id })
-    }
-}
-
-impl Drop for OpenRequestId<'_> {
-    fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
-    }
-}
-
 async fn handle_api_request(
     request: Request<Incoming>,
     state: &ServerState,
@@ -159,8 +138,11 @@
         tenant,
         deadline,
     } = metadata;
-    let _open_id =
-        OpenRequestId::reserve(&state.open_request_ids, id).ok_or(InvalidRequest::DUPLICATE_ID)?;
+    let open_id = state
+        .request_ids
+        .reserve(&id)
+        .ok_or(InvalidRequest::DUPLICATE_ID)?;
+    socket.connection.hold_request_id(Rc::clone(&open_id));
     let sticky_key = head.uri.query().and_then(sticky_key);
     let connection = &socket.connection;
     let head_memory = connection.read_buffer_memory();
@@ -193,7 +175,7 @@
         }
     };
     let sent_attempts = dispatcher.metrics.attempts(class).clone();
-    let message = upstream_request(head, body, head_memory, sent_attempts);
+    let message = upstream_request(head, body, head_memory, sent_attempts, open_id);
     let new_request = NewRequest {
         class,
         tenant,
@@ -230,6 +212,7 @@
     body: RequestBody,
     head_memory: Option<Rc<Reservation>>,
     sent_attempts: Counter,
+    open_id: Rc<OpenRequestId>,
 ) -> UpstreamRequest {
     let headers = remove_hop_by_hop_headers(head.headers);
     // A client may send the absolute form, with the host in the request line; the server gets only the path and query.
@@ -247,5 +230,6 @@
         deadline: Cell::default(),
         send_deadline: Cell::default(),
         head_memory,
+        open_id: Some(open_id),
     }
 }
--- a/src/node/downstream/server.rs
+++ b/src/node/downstream/server.rs
@@ -1,15 +1,13 @@
 //! The server that accepts client connections: spawns a task for each, and returns once all of them are closed. Owns the
-//! state that the connections share: the connection table and the ids of the requests in progress.
+//! state that the connections share: the connection table and the ids of requests.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::cell::Cell;
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use admin::{ConnectionPolicy, Drain};
-use hyper::header::HeaderValue;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -18,6 +16,7 @@
 use crate::node::dispatcher::Dispatcher;
 use crate::node::downstream::connection;
 use crate::node::downstream::connection_table::ConnectionTable;
+use crate::node::downstream::request_ids::RequestIds;
 pub use crate::node::downstream::shutdown::Phase;
 use crate::node::downstream::shutdown::{FINAL_WRITE_TIMEOUT, SHARED_ACCEPT_PERIOD};
 use crate::node::memory::NodeMemory;
@@ -63,8 +62,7 @@
     pub(super) options: ServerOptions,
     pub(super) table: Rc<ConnectionTable>,
     pub(super) memory: Rc<NodeMemory>,
-    /// Ids of the requests that are being read or served.
-    pub(super) open_request_ids: RefCell<HashSet<HeaderValue>>,
+    pub(super) request_ids: Rc<RequestIds>,
 }
 
 /// Serves clients until the node has stopped accepting connections and all connections are closed.
@@ -78,7 +76,7 @@
         dispatcher,
         table: ConnectionTable::new(options.max_connections),
         options,
-        open_request_ids: RefCell::default(),
+        request_ids: Rc::default(),
     });
     tokio::select! {
         () = accept_until_shutdown(listener, &state) => {}
--- a/src/node/downstream/socket.rs
+++ b/src/node/downstream/socket.rs
@@ -59,6 +59,10 @@
     /// Number of bytes that have been received of the current head and of what came with it.
     head_bytes: Rc<Cell<usize>>,
     is_head_refused: Rc<Cell<bool>>,
+    /// Whether bytes of the next request had arrived when the last response was written.
+    is_pipelining: Rc<Cell<bool>>,
+    /// Whether the client has been found to have disconnected.
+    is_disconnected: Rc<Cell<bool>>,
     /// The connection's entry in the table.
     pub connection: Rc<TrackedConnection>,
     /// Holds the connection's slot in the table.
@@ -73,6 +77,8 @@
             memory,
             head_bytes: Rc::default(),
             is_head_refused: Rc::default(),
+            is_pipelining: Rc::default(),
+            is_disconnected: Rc::default(),
             stream: Rc::new(RefCell::new(LevelTriggered::new(stream))),
             read_ahead: Rc::default(),
             framing: Rc::default(),
@@ -136,6 +142,9 @@
         cx: &mut Context<'_>,
         next_poll: &mut Option<Pin<Box<Sleep>>>,
     ) -> Poll<()> {
+        if self.is_disconnected.get() {
+            return Poll::Ready(());
+        }
         let (mut read_ahead, mut stream) = (self.read_ahead.borrow_mut(), self.stream.borrow_mut());
         let max_bytes = if self.connection.has_large_reads() {
             MAX_LARGE_READ_AHEAD_BYTES
@@ -166,6 +175,18 @@
         }
     }
 
+    /// Returns whether the client of a request that arrived before the last response was written has closed its connection. The
+    /// close itself waits behind unread bytes, but the response to a client that has gone resets the connection. Once this
+    /// returns `true`, [`Self::client_disconnected`] completes.
+    #[must_use]
+    pub fn detect_reset(&self) -> bool {
+        if self.is_pipelining.get() {
+            let error = SockRef::from(self.stream.borrow().get_ref()).take_error();
+            self.is_disconnected.set(matches!(error, Ok(Some(_))));
+        }
+        self.is_disconnected.get()
+    }
+
     fn record_written(&self, written: &Poll<io::Result<usize>>) {
         if matches!(written, Poll::Ready(Ok(bytes)) if *bytes > 0) {
             self.connection.record_written();
@@ -281,9 +302,12 @@
 
     /// hyper flushes once it has written everything it has buffered, so the end of a response is recorded here.
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.guard.record_flushed() && !self.read_ahead.borrow().is_empty() {
-            // hyper waits for the stream to become readable, which does not happen for bytes that have been read ahead.
-            cx.waker().wake_by_ref();
+        if self.guard.record_flushed() {
+            self.is_pipelining.set(!self.read_ahead.borrow().is_empty());
+            if self.is_pipelining.get() {
+                // hyper waits for the stream to become readable, which does not happen for bytes that have been read ahead.
+                cx.waker().wake_by_ref();
+            }
         }
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
--- a/src/node/upstream/http1/request_body/tests.rs
+++ b/src/node/upstream/http1/request_body/tests.rs
@@ -19,6 +19,7 @@
         deadline: Cell::default(),
         send_deadline: Cell::default(),
         head_memory: None,
+        open_id: None,
     })
 }
 
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -26,6 +26,7 @@
 use pool::{Address, BytesSent, CloseReason, ConnectionError};
 
 use crate::node::downstream::body_stream::{BodyReceiver, Upload};
+use crate::node::downstream::request_ids::OpenRequestId;
 use crate::node::memory::NodeMemory;
 use balancer::{AttemptResult, LoadReport};
 use stream::Stream;
@@ -50,6 +51,8 @@
     pub send_deadline: Cell<Option<Instant>>,
     /// The reservation of a long head, which the client's connection shares.
     pub head_memory: Option<Rc<Reservation>>,
+    /// Its id, which stays reserved until its last attempt has ended.
+    pub open_id: Option<Rc<OpenRequestId>>,
 }
 
 /// The body of a request.
@@ -72,6 +75,20 @@
         id.and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    /// Records that the request may have run and must not run again.
+    pub fn record_possible_run(&self) {
+        if let Some(id) = &self.open_id {
+            id.record_possible_run();
+        }
+    }
+
+    /// Records that the response to the request is a server's.
+    pub fn record_served(&self) {
+        if let Some(id) = &self.open_id {
+            id.record_served();
+        }
+    }
+
     /// Whether an attempt may send the request now: no other attempt has consumed a part of a streamed body, and the
     /// send deadline has not passed. The send deadline passes when the client disconnects, or when servers may have
     /// discarded the idempotency key of an earlier attempt.
--- a/src/node/upstream/servers/tests.rs
+++ b/src/node/upstream/servers/tests.rs
@@ -19,6 +19,7 @@
         deadline: std::cell::Cell::default(),
         send_deadline: std::cell::Cell::default(),
         head_memory: None,
+        open_id: None,
     })
 }
 
