A flood on one connection no longer delays other clients

Cause: the node has one thread, and a connection whose next request had already arrived went on until tokio's budget of 128 reads was used up: some 5,000 requests that are answered at once, 0.1 s of processor time, before any other connection had its turn. What is discarded after a last response was read in turns of 512 KiB, and passed through the parser of heads. Class of bug: work for a peer that only the peer bounds.

Now a connection begins two requests in a turn of its task, and discards 64 KiB in one, unparsed. The wait comes after the request has been recorded, so its connection cannot be evicted meanwhile.

--- a/src/node/downstream/connection.rs
+++ b/src/node/downstream/connection.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -32,6 +33,10 @@
 const HEAD_REFUSED_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
+/// Maximum number of requests of a connection that begin in one turn of its task. Other connections have their turns before the
+/// next one begins.
+const MAX_REQUESTS_PER_TURN: u64 = 2;
+
 /// How the serving of requests on a connection ended.
 #[derive(PartialEq)]
 enum ConnectionEnd {
@@ -60,10 +65,18 @@
 
 async fn serve_requests(socket: &Socket, state: &ServerState) -> ConnectionEnd {
     let (connection, request_count) = (&socket.connection, Cell::new(0));
+    let requests_before_turn = Cell::new(0);
     let service = service_fn(|request| {
         let number = request_count.get() + 1;
         request_count.set(number);
-        async move { Ok::<_, Infallible>(serve_request(request, number, socket, state).await) }
+        let must_wait = number - requests_before_turn.get() > MAX_REQUESTS_PER_TURN;
+        socket.guard.begin_request();
+        async move {
+            if must_wait {
+                tokio::task::yield_now().await;
+            }
+            Ok::<_, Infallible>(serve_request(request, number, socket, state).await)
+        }
     });
     let http_connection = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
@@ -76,7 +89,10 @@
     loop {
         tokio::select! {
             biased;
-            result = http_connection.as_mut() => {
+            result = poll_fn(|cx| {
+                requests_before_turn.set(request_count.get());
+                http_connection.as_mut().poll(cx)
+            }) => {
                 if let Some(error) = result.err().filter(hyper::Error::is_parse) {
                     log::line(format_args!("malformed request from a client: {error}"));
                 }
@@ -113,7 +129,6 @@
     state: &ServerState,
 ) -> Response<ResponseStream> {
     let connection = &socket.connection;
-    socket.guard.begin_request();
     if socket.detect_reset() {
         return std::future::pending().await; // The connection's task ends with the client's disconnect.
     }
--- a/src/node/downstream/shutdown.rs
+++ b/src/node/downstream/shutdown.rs
@@ -24,6 +24,8 @@
 const MAX_LINGER_BYTES: usize = 64 * MAX_SHORT_BODY_BYTES;
 /// Size of the buffer for those bytes.
 const LINGER_BUFFER_BYTES: usize = 4 * 1024;
+/// Number of those bytes after which other connections have their turns.
+const LINGER_TURN_BYTES: usize = 16 * LINGER_BUFFER_BYTES;
 /// Maximum time for which a connection is read after its last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -111,12 +113,18 @@
     // On the heap: each connection's task has the size of its largest state.
     let mut buffer = vec![0; LINGER_BUFFER_BYTES];
     let mut remaining = MAX_LINGER_BYTES;
+    let mut read_in_turn = 0;
     loop {
         let read = socket.read(&mut buffer).await?;
         remaining = remaining.saturating_sub(read);
         if read == 0 || remaining == 0 {
             return Ok(());
         }
+        read_in_turn += read;
+        if read_in_turn >= LINGER_TURN_BYTES {
+            read_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
     }
 }
 
--- a/src/node/downstream/socket.rs
+++ b/src/node/downstream/socket.rs
@@ -268,7 +268,9 @@
         let read = &buf.filled()[before..];
         if !read.is_empty() {
             self.record_head_bytes(read.len());
-            self.framing.borrow_mut().push(read);
+            if self.connection.stage() != Stage::Lingering {
+                self.framing.borrow_mut().push(read);
+            }
             self.connection.record_received();
         }
         result
