Memory trials of slow clients, and usual clients that wait as Retry-After asks

The test stays, with each kind alone at the most clients only, since all fifteen trials take a minute.

Trace: each refusal is a 503 of the admission with Retry-After of 48 to 63 ms, since 85 to 341 requests of 0.8 s are at four servers; the test's clients tried again after 20 ms, against that header, and were refused again. Its usual clients now wait as long as the header asks; the check, at least half of the requests served, is the same.

--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -122,7 +122,8 @@
 }
 
 impl Answers {
-    fn record(&self, stream: &TcpStream) {
+    /// Records the response on this connection. Returns the time after which its client may try again.
+    fn record(&self, stream: &TcpStream) -> Duration {
         stream
             .set_read_timeout(Some(WAIT_TIMEOUT))
             .expect("set the read timeout");
@@ -131,12 +132,15 @@
             Some(response) if response.status() == 200 => &self.served,
             Some(response) => {
                 *self.errors().entry(response.status()).or_default() += 1;
-                return;
+                let retry_after = response.header("retry-after").map(str::parse::<f64>);
+                let seconds = retry_after.and_then(Result::ok).unwrap_or(0.0);
+                return Duration::from_secs_f64(seconds);
             }
             None if started.elapsed() < WAIT_TIMEOUT => &self.closed,
             None => &self.silent,
         };
         counter.fetch_add(1, Ordering::Relaxed);
+        Duration::ZERO
     }
 
     fn errors(&self) -> MutexGuard<'_, BTreeMap<u16, usize>> {
@@ -205,11 +209,16 @@
 
 /// Sends a request and reads its response on a connection of its own.
 fn exchange(node: SocketAddr, message: &[u8], answers: &Answers) {
+    let _ = exchange_of_usual_client(node, message, answers);
+}
+
+/// Like [`exchange`]. Returns the time after which the client may try again, as `Retry-After` says.
+fn exchange_of_usual_client(node: SocketAddr, message: &[u8], answers: &Answers) -> Duration {
     let Ok(mut stream) = TcpStream::connect(node) else {
-        return;
+        return Duration::ZERO;
     };
     let _ = stream.write_all(message);
-    answers.record(&stream);
+    answers.record(&stream)
 }
 
 /// Starts a server that serves each request after `work`, with a body of this length except for usual clients.
@@ -308,8 +317,8 @@
         let usual_answers = Arc::clone(&usual);
         clients.extend(start_clients(USUAL_CLIENTS, end, move |_| {
             let request = request_with_id(&next_id(USUAL_ID_PREFIX), 200);
-            exchange(address, &request, &usual_answers);
-            thread::sleep(Duration::from_millis(20));
+            let retry_after = exchange_of_usual_client(address, &request, &usual_answers);
+            thread::sleep(Duration::from_millis(20).max(retry_after));
         }));
         while Instant::now() < end {
             thread::sleep(Duration::from_millis(50));
@@ -497,6 +506,100 @@
     }
 }
 
+/// Reads a long response slowly, until the trial's end.
+fn read_slowly(stream: &mut TcpStream, answers: &Answers) {
+    let end = Instant::now() + TRIAL_TIME;
+    let mut piece = vec![0; 4 * KIB];
+    let mut read_bytes = 0;
+    while Instant::now() < end {
+        match stream.read(&mut piece) {
+            Ok(0) | Err(_) => break,
+            Ok(bytes) => read_bytes += bytes,
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let counter = if read_bytes > 0 {
+        &answers.served
+    } else {
+        &answers.closed
+    };
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Guards against memory that grows with clients that write slowly, stop half way through a long request, send heads of very
+/// many short fields, or read long responses slowly; each kind alone, and all of them at once.
+#[test]
+fn slow_clients_stay_under_the_memory_limit() {
+    type HeavyClient = fn(SocketAddr, &Answers);
+    const ALL_KINDS: &str = "slow clients of all kinds";
+    let write_slowly: HeavyClient = |node, answers| {
+        let Ok(mut stream) = TcpStream::connect(node) else {
+            return;
+        };
+        for piece in request_with_body(60 * KIB).chunks(KIB) {
+            if stream.write_all(piece).is_err() {
+                break;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        answers.record(&stream);
+    };
+    let stop_half_way: HeavyClient = |node, answers| {
+        let Ok(mut stream) = TcpStream::connect(node) else {
+            return;
+        };
+        let message = request_with_body(400 * KIB);
+        let _ = stream.write_all(&message[..message.len() / 2]);
+        answers.record(&stream);
+    };
+    let send_many_fields: HeavyClient = |node, answers| {
+        let count = if NEXT_ID.load(Ordering::Relaxed) % 2 == 0 {
+            90
+        } else {
+            5_000
+        };
+        let fields: Vec<_> = (0..count)
+            .map(|number| format!("{number:x}:1\r\n"))
+            .collect();
+        let head = post_request(&next_id("heavy"), "pay", &fields.concat(), "");
+        exchange(node, head.as_bytes(), answers);
+    };
+    let read_long_response: HeavyClient = |node, answers| {
+        let Ok(mut stream) = TcpStream::connect(node) else {
+            return;
+        };
+        let _ = stream.write_all(&request_with_body(200));
+        read_slowly(&mut stream, answers);
+    };
+    let all: HeavyClient = |_, _| {};
+    let kinds = [
+        ("slow writers", write_slowly),
+        ("requests stopped half way", stop_half_way),
+        ("heads of many short fields", send_many_fields),
+        ("slow readers", read_long_response),
+        (ALL_KINDS, all),
+    ];
+    let most_clients = LIMITS[2];
+    let alone = kinds.map(|(name, client)| (most_clients, name, client));
+    let together = [LIMITS[0], LIMITS[1]].map(|limits| (limits, ALL_KINDS, all));
+    for (limits, name, heavy_client) in alone.into_iter().chain(together) {
+        Trial {
+            name,
+            limits,
+            servers: vec![start_server(Duration::from_millis(20), 2_000 * KIB); 4],
+            heavy_clients: limits.clients(),
+        }
+        .run(move |node, answers| {
+            if name == ALL_KINDS {
+                let kind = NEXT_ID.fetch_add(1, Ordering::Relaxed) % 4;
+                kinds[kind].1(node, answers);
+            } else {
+                heavy_client(node, answers);
+            }
+        });
+    }
+}
+
 /// Guards against memory that stays reserved once its connection has been closed: after a number of long messages none
 /// would be served any more.
 #[test]
