A client that stops in the middle of a long request gets its error within 3 s

Cause: a body must keep 48 bytes per millisecond on average, so what comes fast at first pays for a pause of any length later. Now an upload may pause for 2 s at the most.

`client_that_stops_within_a_request_gets_an_error_in_time` failed before at 300 kB and 2 MB, and passes at all lengths and framings.

--- a/crates/flow-control/src/lib.rs
+++ b/crates/flow-control/src/lib.rs
@@ -30,5 +30,5 @@
 mod upload_clock;
 
 pub use memory_budget::{MemoryBudget, Reservation};
-pub use transfer_rate::TransferDeadline;
+pub use transfer_rate::{TransferDeadline, MAX_UPLOAD_STALL_MS};
 pub use upload_clock::{UploadClock, MAX_UNSEEN_BYTES};
--- a/crates/flow-control/src/transfer_rate.rs
+++ b/crates/flow-control/src/transfer_rate.rs
@@ -9,6 +9,9 @@
 const MIN_UPLOAD_BYTES_PER_MS: f64 = 48.0;
 /// Grace period of an upload, for clients that begin to send late.
 const UPLOAD_GRACE_MS: f64 = 1_500.0;
+/// Maximum time for which a client may send nothing of its upload, however much it has sent before. A client
+/// that stops for good is owed an error within 3 s of connecting.
+pub const MAX_UPLOAD_STALL_MS: f64 = 2_000.0;
 /// Minimum rate of a streamed body between two peers that may both be slow: an eighth of the rate of the
 /// slowest clients. At this rate the longest body that can be streamed takes less than two hours.
 const MIN_STREAMING_BYTES_PER_MS: f64 = 8.0;
@@ -59,6 +62,12 @@
         self.due_ms += bytes as f64 / self.min_bytes_per_ms;
     }
 
+    /// Limits the time from `now_ms` to the deadline: a peer that has been faster than the minimum rate may not
+    /// pause for longer than `max_stall_ms`.
+    pub fn limit_stall(&mut self, now_ms: f64, max_stall_ms: f64) {
+        self.due_ms = self.due_ms.min(now_ms + max_stall_ms);
+    }
+
     /// Excludes a pause of `paused_ms` in which the transfer waited for something other than this peer.
     pub fn exclude_pause(&mut self, paused_ms: f64) {
         self.due_ms += paused_ms.max(0.0);
--- a/crates/flow-control/src/transfer_rate/tests.rs
+++ b/crates/flow-control/src/transfer_rate/tests.rs
@@ -4,6 +4,16 @@
 
 use super::*;
 
+#[test]
+fn stall_limit_shortens_the_deadline_of_a_fast_peer_only() {
+    let mut deadline = TransferDeadline::new(0.0, 1_000.0, 10.0);
+    deadline.limit_stall(0.0, 2_000.0);
+    assert_eq!(deadline.due_ms(), 1_000.0);
+    deadline.record_bytes(50_000);
+    deadline.limit_stall(100.0, 2_000.0);
+    assert_eq!(deadline.due_ms(), 2_100.0);
+}
+
 proptest! {
     /// After each chunk from a peer at the minimum rate, the deadline is the whole grace period ahead, however the
     /// data is split. A slower peer reaches its deadline.
--- a/src/node/downstream/request_body.rs
+++ b/src/node/downstream/request_body.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use flow_control::{MemoryBudget, Reservation, TransferDeadline, UploadClock};
+use flow_control::{MemoryBudget, Reservation, TransferDeadline, UploadClock, MAX_UPLOAD_STALL_MS};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
@@ -241,6 +241,8 @@
                 frame.map_err(|_| InvalidRequest::bad_request("the body is malformed\n"))?;
             if let Ok(chunk) = frame.into_data() {
                 self.deadline.record_bytes(chunk.len());
+                self.deadline
+                    .limit_stall(state.dispatcher.now_ms(), MAX_UPLOAD_STALL_MS);
                 self.end.clock.borrow_mut().record_read(
                     Instant::now(),
                     chunk.len() as u64,
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -5,8 +5,11 @@
     reason = "short loop bodies stand at the end of their iterator chain"
 )]
 
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use testkit::*;
@@ -384,3 +387,50 @@
     assert_eq!(evicted, 80, "number of evicted silent connections");
     true
 }
+
+/// Guards against a client that stops in the middle of a request, and stays, for longer than the 3 s within which it is owed an
+/// error or a close.
+#[test]
+fn client_that_stops_within_a_request_gets_an_error_in_time() {
+    const LIMIT: Duration = Duration::from_secs(3);
+    let server = Server::start(|_| Reply::ok("yes"));
+    let (node, _discovery, _watch) = Node::start_with_servers(&[&server], 15_000);
+    let address = node.address;
+    let lengths = [1, 4_000, 60_000, 70_000, 300_000, 2_000_000];
+    let cases = lengths
+        .iter()
+        .flat_map(|length| [(*length, false), (*length, true)]);
+    let clients: Vec<_> = cases
+        .map(|(length, is_chunked)| {
+            thread::spawn(move || {
+                let started = Instant::now();
+                let mut stream = TcpStream::connect(address).expect("connect to the node");
+                let head = post_request(&format!("{length}-{is_chunked}"), "pay", "", "");
+                let message = if is_chunked {
+                    let head = head.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+                    format!("{head}{length:x}\r\n{}\r\n", "x".repeat(length))
+                } else {
+                    let head = head.replace(
+                        "Content-Length: 0",
+                        &format!("Content-Length: {}", 2 * length),
+                    );
+                    format!("{head}{}", "x".repeat(length))
+                };
+                let _ = stream.write_all(message.as_bytes()); // The node may have closed the connection.
+                stream
+                    .set_read_timeout(Some(WAIT_TIMEOUT))
+                    .expect("set the read timeout");
+                let response = Message::read(&mut BufReader::new(stream));
+                let status = response.map(|response| response.status());
+                (length, is_chunked, status, started.elapsed())
+            })
+        })
+        .collect();
+    for client in clients {
+        let result = client.join().expect("the client does not panic");
+        let (_, _, status, elapsed) = result;
+        assert!(elapsed < LIMIT, "{result:?}");
+        assert!(status.is_none_or(|status| status >= 400), "{result:?}");
+    }
+    assert_eq!(server.requests().len(), 0, "no request was complete");
+}
