A keyed request is not retried at a process that may have taken a server's address

A server dies under requests, and a process of another cell comes up at its address before the list tells.

Cause: the balancer knows servers by their names in the list, and took the process that answers at an address for the named one, also after connections to it had broken. Class of bug: an identity inferred from an address.

Now such a request goes to no server whose connections have been refused or have broken since its first attempt. No failure was found where the list tells at once: the address then belongs to the new server (`crates/pool/src/address_owners.rs`).

--- a/crates/balancer/src/outlier.rs
+++ b/crates/balancer/src/outlier.rs
@@ -85,6 +85,9 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         self.last_used_at_ms = now_ms;
         self.count_consecutive(result);
+        if matches!(result, AttemptResult::Unreachable | AttemptResult::Reset) {
+            self.disconnected_at_ms = Some(now_ms);
+        }
     }
 
     /// Records whether an attempt reached the server; returns whether this one did and the previous
--- a/crates/balancer/src/selection.rs
+++ b/crates/balancer/src/selection.rs
@@ -8,9 +8,9 @@
 
 use crate::balancer::Balancer;
 use crate::latency::{LatencyAtDepth, HALF_LIFE_OBJECTIVES};
-use crate::request::PendingRequest;
+use crate::request::{Attempt, PendingRequest};
 use crate::server::Server;
-use crate::server_list::{ServerEntry, ServerId};
+use crate::server_list::ServerId;
 use crate::settings::Settings;
 use crate::slow_start::warm_fraction;
 
@@ -134,8 +134,8 @@
     /// Number of requests that this node served within the last `collapse_after_ms`.
     served: f64,
     slow_start_multiple: f64,
-    /// The server of the first attempt that may have run.
-    first_run_server: Option<&'a ServerEntry>,
+    /// The first attempt that may have run.
+    first_run: Option<&'a Attempt>,
 }
 
 impl Assessment<'_> {
@@ -148,8 +148,12 @@
         random: &mut fastrand::Rng,
     ) -> Option<Candidate> {
         let idempotency = self.settings.classes[self.request.class].idempotency;
-        let allowed = |first| idempotency.may_retry_on(first, &server.entry);
-        if !self.first_run_server.is_none_or(allowed) {
+        let allowed = |first: &Attempt| {
+            idempotency.may_retry_on(&first.entry, &server.entry)
+                && (idempotency.repeat_is_harmless()
+                    || server.is_same_process_since(first.sent_at_ms))
+        };
+        if !self.first_run.is_none_or(allowed) {
             return None;
         }
         let capacity = self.priors.capacity(server);
@@ -412,7 +416,7 @@
             total_capacity,
             served,
             slow_start_multiple: self.slow_start_multiple(),
-            first_run_server: request.first_run_attempt().map(|attempt| &attempt.entry),
+            first_run: request.first_run_attempt(),
         };
         let considered = if request.responded.is_empty() {
             members
--- a/crates/balancer/src/server.rs
+++ b/crates/balancer/src/server.rs
@@ -33,6 +33,9 @@
     pub consecutive_malformed: usize,
     /// Connections that broke under a request since the last result of another kind.
     pub consecutive_resets: usize,
+    /// When a connection to it was last refused or broke, in milliseconds: another process may listen at its
+    /// address since.
+    pub disconnected_at_ms: Option<f64>,
     /// Latest time of sending among the requests that it has served, in milliseconds.
     pub latest_served_sent_at_ms: f64,
     pub overloads: Vec<Overload>,
@@ -51,6 +54,13 @@
         self.entry.availability == Availability::Ready
     }
 
+    /// Whether the process at its address is known to be the one that was there at `since_ms`. Once
+    /// connections to it have been refused or have broken, a process of another group may have taken its
+    /// place before the server list tells.
+    pub fn is_same_process_since(&self, since_ms: f64) -> bool {
+        self.disconnected_at_ms.is_none_or(|at_ms| at_ms < since_ms)
+    }
+
     /// Whether it is ejected, or on trial with a request in flight.
     #[inline]
     pub fn is_ejected(&self, now_ms: f64) -> bool {
--- a/crates/balancer/tests/retry.rs
+++ b/crates/balancer/tests/retry.rs
@@ -74,6 +74,34 @@
     }
 }
 
+/// Guards against a retry at a process that has taken the place of a server of the group, which the server list does not tell
+/// yet.
+#[test]
+fn request_with_cell_key_is_not_retried_at_a_server_whose_connection_broke() {
+    for (scope, result, is_retried) in [
+        (KeyScope::Cell, AttemptResult::Reset, false),
+        (KeyScope::Zone, AttemptResult::Reset, false),
+        (KeyScope::All, AttemptResult::Reset, true),
+        (KeyScope::Cell, AttemptResult::Error, true),
+        (KeyScope::Cell, AttemptResult::Malformed, true),
+    ] {
+        let settings = settings_with_one_class(Idempotency::IdempotencyKey {
+            scope,
+            window_ms: 500.0,
+        });
+        let mut node = Node::new(settings, 1);
+        node.set_servers(ready_servers(0..1));
+        node.dispatch(1);
+        node.now += 5.0;
+        let actions = node.end_attempt(1, 0, 5.0, result);
+        assert_eq!(
+            sent_server(&actions).is_some(),
+            is_retried,
+            "{scope:?} after {result:?}"
+        );
+    }
+}
+
 #[test]
 fn request_with_global_key_may_be_rejected_after_it_ran() {
     let mut settings = settings_with_one_class(Idempotency::IdempotencyKey {
