--- a/src/node/downstream/mod.rs
+++ b/src/node/downstream/mod.rs
@@ -14,3 +14,4 @@
 pub mod server;
 pub mod shutdown;
 mod socket;
+mod upload_end;
--- a/src/node/downstream/request_body.rs
+++ b/src/node/downstream/request_body.rs
@@ -1,11 +1,10 @@
 //! Uploads: reads a request's body from the client, buffers as much as the limits permit, and streams the rest.
 
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use flow_control::{MemoryBudget, Reservation, TransferDeadline, UploadClock, MAX_UPLOAD_STALL_MS};
+use flow_control::{MemoryBudget, Reservation, TransferDeadline, MAX_UPLOAD_STALL_MS};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
@@ -15,17 +14,14 @@
 use crate::node::downstream::response::InvalidRequest;
 use crate::node::downstream::server::ServerState;
 use crate::node::downstream::socket::Socket;
+use crate::node::downstream::upload_end::{UploadEnd, UploadWait};
 use crate::node::memory::{
-    max_wait, reserve_within, try_reserve_large_chunks, MAX_UNRESERVED_BYTES, STREAM_BYTES,
+    freeze, max_wait, reserve_within, try_reserve_large_chunks, MAX_UNRESERVED_BYTES, STREAM_BYTES,
 };
 use crate::node::upstream::response::{
     MAX_BUFFERED_REQUEST_BYTES, MAX_SHORT_BODY_BYTES, MAX_STREAMED_BODY_BYTES,
 };
 
-/// Time for which a client has to leave the node without bytes to be taken for one that is still sending: longer than bytes
-/// take that were held back in its kernel, once the node reads again.
-const MIN_CLIENT_WAIT: Duration = Duration::from_millis(20);
-
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum UploadError {
@@ -52,71 +48,6 @@
     end: Rc<UploadEnd>,
 }
 
-/// What an upload waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum UploadWait {
-    /// The client's next bytes.
-    Client,
-    /// Memory, an attempt, or the server that reads it.
-    Node,
-}
-
-/// When the client may have sent the last byte of an upload, by the times for which the upload waits and by the state of its
-/// socket.
-struct UploadEnd {
-    clock: RefCell<UploadClock>,
-    wait: Cell<(UploadWait, Instant)>,
-    socket: Socket,
-}
-
-impl UploadEnd {
-    fn new(socket: &Socket) -> Self {
-        Self {
-            clock: RefCell::default(),
-            wait: Cell::new((UploadWait::Client, Instant::now())),
-            socket: socket.clone(),
-        }
-    }
-
-    /// Records that the upload waits for something else from now on.
-    fn wait_for(&self, wait: UploadWait) {
-        let now = Instant::now();
-        let (previous, since) = self.wait.replace((wait, now));
-        let mut clock = self.clock.borrow_mut();
-        match (previous, wait) {
-            (UploadWait::Client, _) if now - since >= MIN_CLIENT_WAIT => {
-                clock.record_incomplete(now);
-            }
-            _ => {}
-        }
-        match wait {
-            UploadWait::Client => clock.resume(now),
-            UploadWait::Node => clock.hold(now),
-        }
-    }
-
-    /// Whether the client is known to be sending: it has left the node without bytes for a while.
-    fn is_client_sending(&self, now: Instant) -> bool {
-        let (wait, since) = self.wait.get();
-        now - since >= MIN_CLIENT_WAIT
-            && match wait {
-                UploadWait::Client => !self.socket.has_unread_bytes(),
-                UploadWait::Node => self.socket.awaits_more_of_body(),
-            }
-    }
-}
-
-impl UploadProgress for UploadEnd {
-    fn earliest_end(&self) -> Instant {
-        let now = Instant::now();
-        let mut clock = self.clock.borrow_mut();
-        if self.is_client_sending(now) {
-            clock.record_incomplete(now);
-        }
-        clock.earliest_end(now)
-    }
-}
-
 /// The part of a body that has been buffered.
 pub(super) enum BufferedBody {
     /// The complete body.
@@ -167,16 +98,8 @@
     }
 
     /// Returns the buffered bytes. The reservation is released with the last reference to them.
-    fn freeze(mut self) -> Bytes {
-        self.bytes.shrink_to_fit();
-        if let Some(reservation) = &mut self.reservation {
-            reservation.shrink_to(self.bytes.len());
-        }
-        let bytes = Bytes::from(self.bytes);
-        match self.reservation {
-            Some(reservation) => reservation.attach_to(bytes),
-            None => bytes,
-        }
+    fn freeze(self) -> Bytes {
+        freeze(self.bytes, self.reservation)
     }
 }
 
@@ -243,11 +166,7 @@
                 self.deadline.record_bytes(chunk.len());
                 self.deadline
                     .limit_stall(state.dispatcher.now_ms(), MAX_UPLOAD_STALL_MS);
-                self.end.clock.borrow_mut().record_read(
-                    Instant::now(),
-                    chunk.len() as u64,
-                    self.remaining_bytes(),
-                );
+                self.end.record_read(chunk.len(), self.remaining_bytes());
                 return Ok(Some(chunk));
             }
         }
--- a/src/node/memory.rs
+++ b/src/node/memory.rs
@@ -110,6 +110,18 @@
         .flatten()
 }
 
+/// Returns a buffer's bytes without its unused memory. The reservation shrinks with it, and is released with the last reference to
+/// the bytes.
+#[must_use]
+pub fn freeze(mut bytes: Vec<u8>, reservation: Option<Reservation>) -> Bytes {
+    bytes.shrink_to_fit();
+    let Some(mut reservation) = reservation else {
+        return Bytes::from(bytes);
+    };
+    reservation.shrink_to(bytes.len());
+    reservation.attach_to(Bytes::from(bytes))
+}
+
 /// Copies a short slice of a read buffer, so that it does not keep the whole buffer in memory.
 #[must_use]
 pub fn detach_if_short(bytes: Bytes) -> Bytes {
--- a/src/node/upstream/http1/response_reader.rs
+++ b/src/node/upstream/http1/response_reader.rs
@@ -18,7 +18,7 @@
 use crate::node::admin::log;
 use crate::node::downstream::body_stream::{body_stream, BodyReceiver, BodySender, StreamError};
 use crate::node::memory::{
-    try_reserve_large_chunks, NodeMemory, MAX_UNRESERVED_BYTES, STREAM_BYTES,
+    freeze, try_reserve_large_chunks, NodeMemory, MAX_UNRESERVED_BYTES, STREAM_BYTES,
 };
 use crate::node::upstream::response::{
     attempt_result, decode_load_report, MAX_SHORT_BODY_BYTES, MAX_STREAMED_BODY_BYTES,
@@ -408,15 +408,7 @@
     }
 
     /// Returns the buffered bytes. The reservation is released with the last reference to them.
-    fn freeze(mut self) -> Bytes {
-        self.bytes.shrink_to_fit();
-        if let Some(reservation) = &mut self.reservation {
-            reservation.shrink_to(self.bytes.len());
-        }
-        let bytes = Bytes::from(self.bytes);
-        match self.reservation {
-            Some(reservation) => reservation.attach_to(bytes),
-            None => bytes,
-        }
+    fn freeze(self) -> Bytes {
+        freeze(self.bytes, self.reservation)
     }
 }
