The new condition on retries holds only where a server is an address

Cause: the condition guards against another process at a known address. In the simulator each message names the server itself, so there is nothing to guard against. A setting of the balancer, which the node sets and the simulator does not, now says which it is.

--- a/crates/balancer/src/selection.rs
+++ b/crates/balancer/src/selection.rs
@@ -150,7 +150,8 @@
         let idempotency = self.settings.classes[self.request.class].idempotency;
         let allowed = |first: &Attempt| {
             idempotency.may_retry_on(&first.entry, &server.entry)
-                && (idempotency.repeat_is_harmless()
+                && (!self.settings.servers_are_addresses
+                    || idempotency.repeat_is_harmless()
                     || server.is_same_process_since(first.sent_at_ms))
         };
         if !self.first_run.is_none_or(allowed) {
--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings.rs
@@ -154,6 +154,9 @@
     pub report_source: ReportSource,
     /// Whether health checks may be sent to servers.
     pub health_checks: bool,
+    /// Whether a server is reached at an address, where another process may take its place before the
+    /// server list tells.
+    pub servers_are_addresses: bool,
     /// Time in milliseconds for which the next request of a key is held back after an attempt that may
     /// still be running, in classes that are ordered by key.
     pub key_cooldown_ms: f64,
@@ -198,6 +201,7 @@
             discovery: DiscoveryMode::Push,
             report_source: ReportSource::Inline,
             health_checks: false,
+            servers_are_addresses: false,
             key_cooldown_ms: 0.0,
             retry_budget: None,
             max_poll_interval_ms: 10_000.0,
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -317,11 +317,12 @@
     }
 }
 
-/// Parses the settings of the balancer and disables health checks: the node sends none, so the balancer relies on the
-/// load reports in responses alone.
+/// Parses the settings of the balancer. Disables health checks: the node sends none, so the balancer relies on the load
+/// reports in responses alone.
 fn parse_balancer_settings(settings: &Value) -> Result<Settings, ConfigError> {
     let mut settings = parse_settings(settings).map_err(ConfigError::Settings)?;
     settings.health_checks = false;
+    settings.servers_are_addresses = true;
     settings
         .validate()
         .map_err(|error| ConfigError::Settings(SettingsFormatError::OutOfRange(error)))?;
