--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -5,6 +5,8 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -157,14 +159,38 @@
 impl Node {
     /// Starts a node and waits until `GET /up` is answered with 200.
     pub fn start(name: &str, discovery: SocketAddr, known: &str, settings: &str, memory_mb: usize, sockets: usize) -> Self {
-        let address = free_address();
+        let node = Self::spawn(name, None, discovery, known, settings, memory_mb, sockets);
+        node.wait_until_up();
+        node
+    }
+
+    /// Starts a process of a node. With `listener`, it is handed this listening socket as docs/admin/operate.md says.
+    pub fn spawn(
+        name: &str,
+        listener: Option<&TcpListener>,
+        discovery: SocketAddr,
+        known: &str,
+        settings: &str,
+        memory_mb: usize,
+        sockets: usize,
+    ) -> Self {
+        let address = listener.and_then(|listener| listener.local_addr().ok()).unwrap_or_else(free_address);
         let config = run().folder.join(format!("{name}.json"));
         let text = format!(
             r#"{{"name":"{name}","listen":"{address}","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
         fs::write(&config, text).expect("the configuration file");
         let log = File::create(run().folder.join(format!("{name}.log"))).expect("the node's log");
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        if let Some(listener) = listener {
+            let descriptor = listener.as_raw_fd();
+            command.env("ROUTER_LISTEN_FD", HANDED_DESCRIPTOR.to_string());
+            // SAFETY: the call in the child takes numbers only; it keeps the copy open across exec.
+            unsafe {
+                command.pre_exec(move || if dup2(descriptor, HANDED_DESCRIPTOR) < 0 { Err(io::Error::last_os_error()) } else { Ok(()) });
+            }
+        }
+        let child = command
             .args(["-c", &run_command()])
             .current_dir(root())
             .env("ROUTER_NAME", name)
@@ -179,11 +205,15 @@
             .expect("start of the node");
         let pid = child.id();
         run().children.lock().unwrap().push(child);
-        let node = Self { address, pid, name: name.to_owned(), config };
+        Self { address, pid, name: name.to_owned(), config }
+    }
+
+    /// Waits until `GET /up` is answered with 200.
+    pub fn wait_until_up(&self) {
         for _ in 0..300 {
-            if node.is_up() {
-                record(&format!("node {name} (pid {pid}) is ready at {address}"));
-                return node;
+            if self.is_up() {
+                record(&format!("node {} (pid {}) is ready at {}", self.name, self.pid, self.address));
+                return;
             }
             thread::sleep(Duration::from_millis(100));
         }
@@ -225,10 +255,12 @@
     }
 }
 
+/// The number under which a process gets the listening socket: one that nothing else has.
+const HANDED_DESCRIPTOR: i32 = 100;
+
 extern "C" {
+    fn dup2(from: i32, to: i32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-    fn signal(signal: i32, handler: usize) -> usize;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -240,12 +272,6 @@
     unsafe { kill(pid as i32, signal) };
 }
 
-/// Sets a socket option at the socket level.
-pub fn set_option(socket: i32, name: i32, value: i32) {
-    // SAFETY: `value` outlives the call, and the length is its size.
-    unsafe { setsockopt(socket, 1, name, &value, 4) };
-}
-
 /// The end of a client's request.
 #[derive(Clone, Debug)]
 pub enum Answer {
