--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -7,7 +7,7 @@
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const REQUESTS: usize = 6;
 /// The work of a request at its server; a page names 100 to 190 ms in the mean, with a long tail.
@@ -65,16 +65,23 @@
     };
     let ids: Vec<String> = (0..REQUESTS).map(|_| new_id()).collect();
     let usual: Vec<_> = ids.iter().map(|id| send("usual client", id.clone())).collect();
+    let sent_at = Instant::now();
     pause(100);
     if has_trouble() {
         let new = Node::spawn("n1-new", Some(&listener), discovery, &list, &settings, 192, 1024);
-        pause(200);
+        while !new.has_logged("serves on") && sent_at.elapsed() < Duration::from_millis(WORK_MS) {
+            pause(10);
+        }
         record(&format!("the process {} of the node is told to end (SIGTERM); {} takes over", old.pid, new.pid));
         old.signal(SIGTERM);
         // The old process goes on accepting for 0.3 s.
         pause(450);
     } else {
-        pause(650);
+        pause(450);
+    }
+    // The requests have to be open when their ids come again.
+    if sent_at.elapsed() > Duration::from_millis(WORK_MS - 200) {
+        finish(COULD_NOT_RUN, "the second process was not ready in time");
     }
     let bad: Vec<_> = ids.iter().map(|id| send("bad client", id.clone())).collect();
     let usual: Vec<_> = usual.into_iter().filter_map(|thread| thread.join().ok()).collect();
--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -233,6 +233,12 @@
         child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Whether the node's log holds this text.
+    pub fn has_logged(&self, text: &str) -> bool {
+        let log = fs::read_to_string(run().folder.join(format!("{}.log", self.name)));
+        log.is_ok_and(|log| log.contains(text))
+    }
+
     /// Copies the node's log into the record.
     pub fn record_log(&self, max_lines: usize) {
         let log = fs::read_to_string(run().folder.join(format!("{}.log", self.name))).unwrap_or_default();
