--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -55,7 +55,7 @@
                 let id = new_id();
                 let class = ["rate-set", "note-add"][number % 2];
                 let bytes = request(&id, class, DEADLINE_MS, None, if class == "note-add" { b"a note" } else { b"" });
-                let answer = Client::connect(address).and_then(|mut client| client.call(&bytes, Duration::from_millis(DEADLINE_MS + 550)));
+                let answer = call_and_keep(address, &bytes, Duration::from_millis(DEADLINE_MS + 550));
                 record(&format!("request {id} ({class}): {}", answer.text()));
                 matches!(&answer, Answer::Whole { status: 200, body, .. } if *body == format!("served {id}").as_bytes())
             })
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// When the server begins to drain.
 const DRAIN_AFTER_MS: u64 = 3_000;
@@ -125,7 +125,7 @@
     let node = Node::start("n1", discovery, &whole_list(41, &entries), &settings(&classes(), 1, 0), 192, 1024);
     let node_address = node.address;
     let client = thread::spawn(move || {
-        let mut served = 0;
+        let (mut served, mut kept) = (0, None::<TcpStream>);
         for number in 0..(DRAIN_AFTER_MS + JUDGED_MS) / 50 {
             if number == DRAIN_AFTER_MS / 50 {
                 generation.store(42, Ordering::SeqCst);
@@ -134,7 +134,15 @@
                 record("s-1 drains: discovery has version 42");
             }
             let bytes = request(&new_id(), "avail-read", 600, None, b"");
-            let answer = Client::connect(node_address).and_then(|mut client| client.call(&bytes, Duration::from_millis(1_150)));
+            // The client keeps its connection, and opens another when it has ended.
+            let mut stream = match kept.take().or_else(|| Client::connect(node_address).ok()) {
+                Some(stream) => stream,
+                None => continue,
+            };
+            let _ = stream.write_all(&bytes);
+            let answer = read_answer(&mut stream, Instant::now(), Duration::from_millis(1_150));
+            let is_kept = matches!(&answer, Answer::Whole { head, .. } if header(head, "connection").is_none());
+            kept = Some(stream).filter(|_| is_kept);
             served += u32::from(matches!(answer, Answer::Whole { status: 200, .. }));
             pause(40);
         }
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -58,7 +58,7 @@
     let send = move |who: &'static str, id: String| {
         thread::spawn(move || {
             let bytes = request(&id, "note-add", DEADLINE_MS, None, b"a note");
-            let answer = Client::connect(address).and_then(|mut client| client.call(&bytes, Duration::from_millis(DEADLINE_MS + 550)));
+            let answer = call_and_keep(address, &bytes, Duration::from_millis(DEADLINE_MS + 550));
             record(&format!("{who} with {id}: {}", answer.text()));
             answer
         })
--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -2,6 +2,7 @@
 // the pages PROTOCOL, DEPLOY and STANDING. Only the standard library is used; every address is on loopback.
 #![allow(dead_code)]
 
+use std::collections::{BTreeMap, VecDeque};
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -329,6 +330,15 @@
     }
 }
 
+/// Sends a request on a new connection and waits for its answer. The client keeps the connection until the case ends.
+pub fn call_and_keep(address: SocketAddr, bytes: &[u8], wait: Duration) -> Answer {
+    Client::connect(address).and_then(|mut client| {
+        let answer = client.call(bytes, wait);
+        std::mem::forget(client.stream.take());
+        answer
+    })
+}
+
 /// The result of a connection attempt.
 pub struct ClientResult(io::Result<TcpStream>);
 
@@ -478,13 +488,9 @@
     }
 }
 
-/// A 200 answer with a load report, as a server with few requests gives it.
+/// A 200 answer with a length.
 pub fn ok_answer(body: &[u8]) -> Vec<u8> {
-    let mut bytes = format!(
-        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nSrv-Load: TEXT inflight=1, queue=0\r\n\r\n",
-        body.len()
-    )
-    .into_bytes();
+    let mut bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
     bytes.extend_from_slice(body);
     bytes
 }
@@ -504,10 +510,39 @@
     address
 }
 
-/// Serves one request after the other on a connection; `answer` gives the bytes of each answer.
+/// The requests that a server holds, and when it served others, by its port.
+static LOADS: Mutex<BTreeMap<u16, (usize, VecDeque<Instant>)>> = Mutex::new(BTreeMap::new());
+
+/// Counts a request that a server has got.
+fn begin_work(port: u16) {
+    let mut loads = LOADS.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    loads.entry(port).or_default().0 += 1;
+}
+
+/// Counts a request that a server has served, and returns its load report, with the fields that the settings name.
+fn end_work(port: u16) -> String {
+    let mut loads = LOADS.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let (active, served) = loads.entry(port).or_default();
+    let report_active = *active;
+    *active = active.saturating_sub(1);
+    served.push_back(Instant::now());
+    while served.front().is_some_and(|at| at.elapsed() > Duration::from_secs(1)) {
+        served.pop_front();
+    }
+    format!("Srv-Load: TEXT active={report_active}, rps={}, waiting=0\r\n", served.len())
+}
+
+/// Serves one request after the other on a connection; `answer` gives the bytes of each answer, to which the load is added.
 pub fn serve_requests(mut stream: TcpStream, answer: impl Fn(&Received) -> Vec<u8>) {
+    let port = stream.local_addr().map_or(0, |address| address.port());
     while let Some(received) = read_request(&mut stream) {
-        if stream.write_all(&answer(&received)).is_err() {
+        begin_work(port);
+        let mut bytes = answer(&received);
+        let report = end_work(port);
+        if let Some(line) = find(&bytes, b"\r\n") {
+            bytes.splice(line + 2..line + 2, report.into_bytes());
+        }
+        if stream.write_all(&bytes).is_err() {
             return;
         }
         if header(&received.head, "connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
