Forward responses that end with their connection

Callers got 502 or 503 for complete responses of sound servers: each 200 response with neither a length nor a transfer coding was rejected as malformed, unless it said "Connection: close" itself. Unsafe requests had run; idempotent ones ran up to three times.

Cause: ends_with_connection asked whether the response announces the close. By RFC 9112, section 6.3, such a response ends with its connection whatever it announces, and the node itself asks for the close. Now it is complete once the server has closed in order behind a complete head; a reset is reported as an error by the read and does not complete it. On the same path, a transfer coding other than "chunked" counted as chunked and its encoded bytes were forwarded as the body; it is rejected now.

One row of malformed_response_is_abandoned_early_and_retried asserted the fault: a response without framing headers on a connection that stays open was to be retried at once. Its server may still close in order, so the row moves to the test of stalled responses (answered by the deadline, one attempt), and an unsupported transfer coding takes its place.

--- a/src/node/upstream/http1/response_reader.rs
+++ b/src/node/upstream/http1/response_reader.rs
@@ -9,9 +9,9 @@
 use flow_control::{Reservation, TransferDeadline};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, CONNECTION, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use hyper::{Response, Version};
+use hyper::Response;
 use pool::ConnectionError;
 
 use super::connection::Http1Connection;
@@ -129,8 +129,11 @@
 
     /// Reads and returns a response body that is short enough to be buffered. A longer one is passed to
     /// `on_streamed_body`, and `None` is returned once it has been streamed. It is an error if the body is truncated,
-    /// has no defined end or exceeds the limits, if it stalls while it is streamed, or if a longer one cannot be streamed
-    /// because `on_streamed_body` is `None`.
+    /// has an unsupported transfer coding or exceeds the limits, if it stalls while it is streamed, or if a longer one
+    /// cannot be streamed because `on_streamed_body` is `None`.
+    ///
+    /// A body with neither a transfer coding nor a length ends with its connection (RFC 9112, section 6.3): it is complete
+    /// if the server has closed the connection in order, and truncated if the connection was reset.
     async fn read_body(
         &mut self,
         head: &Parts,
@@ -139,13 +142,15 @@
         on_streamed_body: Option<&dyn Fn(BodyReceiver, Reservation)>,
     ) -> Result<Option<Bytes>, StreamError> {
         let content_length = body.size_hint().exact();
-        let is_chunked = head.headers.contains_key(TRANSFER_ENCODING);
         let is_too_long = content_length.is_some_and(|len| len > MAX_STREAMED_BODY_BYTES as u64);
-        if is_too_long || (content_length.is_none() && !is_chunked && !ends_with_connection(head)) {
-            log::line("a server's response exceeds the size limit or has no defined length");
+        let coding = transfer_coding(&head.headers);
+        if is_too_long || coding == TransferCoding::Unsupported {
+            log::line(
+                "a server's response exceeds the size limit or has an unsupported transfer coding",
+            );
             return Err(StreamError::Connection(ConnectionError::InvalidResponse));
         }
-        if is_chunked {
+        if coding == TransferCoding::Chunked {
             self.progress
                 .allow_additional_bytes(WIRE_BYTES_PER_CHUNKED_BYTE * MAX_SHORT_BODY_BYTES);
         }
@@ -343,13 +348,33 @@
     values.peek().is_some() && values.all(|value| value == "1")
 }
 
-/// Whether the body ends with the connection, as `Connection: close` announces and HTTP/1.0 implies.
-fn ends_with_connection(head: &Parts) -> bool {
-    let announces_close = head
-        .headers
-        .get(CONNECTION)
-        .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-    announces_close || head.version == Version::HTTP_10
+/// The transfer codings of a message body (RFC 9112, section 7).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TransferCoding {
+    /// None: the body ends after its announced length, or else with its connection.
+    None,
+    /// Chunked and nothing else.
+    Chunked,
+    /// The body is encoded in a way that was not asked for, and cannot be decoded.
+    Unsupported,
+}
+
+/// The transfer coding of a response.
+fn transfer_coding(headers: &HeaderMap) -> TransferCoding {
+    let mut values = headers.get_all(TRANSFER_ENCODING).iter();
+    let Some(value) = values.next() else {
+        return TransferCoding::None;
+    };
+    let coding = value.as_bytes().trim_ascii();
+    if values.next().is_some() {
+        TransferCoding::Unsupported
+    } else if coding.eq_ignore_ascii_case(b"chunked") {
+        TransferCoding::Chunked
+    } else if coding.eq_ignore_ascii_case(b"identity") {
+        TransferCoding::None
+    } else {
+        TransferCoding::Unsupported
+    }
 }
 
 /// Combines the result that the response head indicates with the outcome of reading the body. Returns the result of
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -94,7 +94,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nrooms: 3\n",
         "HTTP/1.1 200 OK\r\nContent-Length: -9\r\n\r\nrooms: 3\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nContent-Length: 8\r\n\r\nrooms: 3\n",
-        "HTTP/1.1 200 OK\r\n\r\nrooms: 3\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nrooms: 3\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nrooms: 3\n",
         "\x00\u{1}noise",
         &large,
@@ -134,6 +134,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nrooms: 3\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nrooms: 3\n",
+        "HTTP/1.1 200 OK\r\n\r\nrooms: 3\n",
         "HTTP/1.1 404 Not Found\r\nContent-Length: 12\r\n\r\nno su",
     ] {
         let server = Server::start(|_| Reply::Send(beginning.to_owned().into_bytes()));
