Read the memory of test processes in one place

Four test files each parsed /proc/PID/status. testkit has one function for it now; checks and bounds are unchanged. floods, long and pressure pass (17 tests); memory builds and is run with the whole suite.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -33,6 +33,7 @@
 mod message;
 mod node;
 pub mod nodes;
+mod process_memory;
 mod register;
 mod relay;
 mod server;
@@ -46,6 +47,7 @@
     config, pause_process_starts, program_command, program_path, settings,
     settings_with_latency_objective, write_temp_file, Client, Node,
 };
+pub use process_memory::{process_memory_kib, MemoryKind};
 pub use register::{Effect, Register};
 pub use server::{Reply, Server, Unreachable};
 pub use simulation::{Burst, Fault, FaultSchedule, Link, ScheduleLimits};
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::discovery::{endpoint_list, Discovery, Watch};
 use crate::message::Message;
+use crate::process_memory::{process_memory_kib, MemoryKind};
 use crate::server::Server;
 use crate::{wait_until, WAIT_TIMEOUT};
 
@@ -310,6 +311,12 @@
         self.child.id()
     }
 
+    /// Memory of its process, in KiB.
+    #[must_use]
+    pub fn memory_kib(&self, kind: MemoryKind) -> usize {
+        process_memory_kib(self.process_id(), kind).expect("the node runs")
+    }
+
     /// Starts a discovery service and a node whose initial endpoint list contains these servers, and returns both
     /// with the watch that the node has opened. The node reaches a server that has a Unix socket only there.
     #[must_use]
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -93,18 +93,6 @@
     )
 }
 
-/// Anonymous resident memory of a process, in KiB.
-fn anonymous_kib(process_id: u32) -> usize {
-    let status =
-        std::fs::read_to_string(format!("/proc/{process_id}/status")).expect("the node runs");
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("RssAnon:"));
-    let line = line.expect("the status has a line for anonymous memory");
-    let number = line.trim().trim_end_matches(" kB").parse();
-    number.expect("the memory is a number")
-}
-
 /// Sends messages at full speed and reads all that comes, on one connection after the other, until `end`.
 fn flood(node: SocketAddr, message: fn() -> String, end: Instant) -> usize {
     let mut messages = 0;
@@ -172,9 +160,9 @@
         .collect();
     let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
     let (node, _discovery) = start_node(&addresses);
-    let (address, process_id) = (node.address, node.process_id());
+    let address = node.address;
     let end = Instant::now() + FLOOD_TIME;
-    let before_kib = anonymous_kib(process_id);
+    let before_kib = node.memory_kib(MemoryKind::Anonymous);
     let floods: Vec<_> = (0..connections)
         .map(|_| thread::spawn(move || flood(address, message, end)))
         .collect();
@@ -183,7 +171,7 @@
         .collect();
     let mut peak_kib = 0;
     while Instant::now() < end {
-        peak_kib = peak_kib.max(anonymous_kib(process_id));
+        peak_kib = peak_kib.max(node.memory_kib(MemoryKind::Anonymous));
         thread::sleep(SHARE_OF_CORE.0);
         node.signal(Signal::STOP);
         thread::sleep(SHARE_OF_CORE.1);
--- a/tests/long.rs
+++ b/tests/long.rs
@@ -18,7 +18,7 @@
 const LONG_BODY_BYTES: usize = 24 << 20;
 /// Limit on the growth of a node's peak memory while it streams such a message, in KiB: several times its buffers on
 /// both sides.
-const MAX_GROWTH_KIB: u64 = 8 << 10;
+const MAX_GROWTH_KIB: usize = 8 << 10;
 
 /// A node with an admin interface and these servers.
 fn start_node(servers: &[&Server]) -> (Node, Discovery) {
@@ -39,20 +39,6 @@
     )
 }
 
-/// Peak resident memory of the process, in KiB.
-fn peak_kib(node: &Node) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.process_id()))
-        .expect("read the status file in /proc");
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmHWM:"))
-        .expect("the status file has a VmHWM line");
-    line.trim()
-        .trim_end_matches(" kB")
-        .parse()
-        .expect("parse the number")
-}
-
 fn long_body() -> Vec<u8> {
     (0..LONG_BODY_BYTES)
         .map(|index| (index / 7 % 251) as u8)
@@ -102,7 +88,7 @@
     for response in responses {
         let server = Server::start(move |_| Reply::Send(response.clone())).without_recording();
         let (node, _discovery) = start_node(&[&server]);
-        let peak_before_kib = peak_kib(&node);
+        let peak_before_kib = node.memory_kib(MemoryKind::PeakResident);
         let mut client = node.connect();
         for id in ["a", "b"] {
             client.send(&read_request(id, "60000m"));
@@ -114,10 +100,10 @@
             assert!(response.body == body, "the body differs from the one sent");
         }
         assert!(
-            peak_kib(&node) - peak_before_kib < MAX_GROWTH_KIB,
+            node.memory_kib(MemoryKind::PeakResident) - peak_before_kib < MAX_GROWTH_KIB,
             "peak memory grew from {} to {} KiB",
             peak_before_kib,
-            peak_kib(&node)
+            node.memory_kib(MemoryKind::PeakResident)
         );
         assert_eq!(
             (server.request_count(), server.accepted_connections()),
@@ -139,7 +125,7 @@
             Server::start(move |request| Reply::ok(&(request.body == expected).to_string()))
                 .without_recording();
         let (node, _discovery) = start_node(&[&server]);
-        let peak_before_kib = peak_kib(&node);
+        let peak_before_kib = node.memory_kib(MemoryKind::PeakResident);
         let head = upload_head("a", LONG_BODY_BYTES);
         let request = if is_chunked {
             let head = head.replace(
@@ -159,10 +145,10 @@
             (200, &b"true"[..])
         );
         assert!(
-            peak_kib(&node) - peak_before_kib < MAX_GROWTH_KIB,
+            node.memory_kib(MemoryKind::PeakResident) - peak_before_kib < MAX_GROWTH_KIB,
             "peak memory grew from {} to {} KiB",
             peak_before_kib,
-            peak_kib(&node)
+            node.memory_kib(MemoryKind::PeakResident)
         );
         assert_eq!(node.metric("attempts.pay"), 1);
     }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -52,15 +52,6 @@
     }
 }
 
-/// Anonymous resident memory of a process, in KiB: what the platform counts, without the pages of the program file.
-fn anonymous_kib(process_id: u32) -> Option<usize> {
-    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).ok()?;
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("RssAnon:"))?;
-    line.trim().trim_end_matches(" kB").parse().ok()
-}
-
 /// Samples the memory of a node until it is dropped or stopped.
 struct MemorySampler {
     stop: Arc<AtomicBool>,
@@ -74,7 +65,8 @@
         let thread = thread::spawn(move || {
             let mut peak_kib = 0;
             while !is_stopped.load(Ordering::Relaxed) {
-                peak_kib = peak_kib.max(anonymous_kib(process_id).unwrap_or(0));
+                peak_kib = peak_kib
+                    .max(process_memory_kib(process_id, MemoryKind::Anonymous).unwrap_or(0));
                 thread::sleep(Duration::from_millis(2));
             }
             peak_kib
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -20,19 +20,6 @@
         .count()
 }
 
-fn resident_kib(node: &Node) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.process_id()))
-        .expect("read the status file in /proc");
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .expect("the status file has a VmRSS line");
-    line.trim()
-        .trim_end_matches(" kB")
-        .parse()
-        .expect("parse the number")
-}
-
 /// Guards against idle clients that occupy the descriptors that a node needs for discovery, and against exceeding the
 /// limit of descriptors. Discovery does not respond at first; once it does, the node uses its list.
 #[test]
@@ -222,7 +209,7 @@
             "x",
         ));
         assert_eq!(response.status(), 200, "request {n}");
-        max_resident_kib = max_resident_kib.max(resident_kib(&node));
+        max_resident_kib = max_resident_kib.max(node.memory_kib(MemoryKind::Resident));
     }
     stop.store(true, Ordering::SeqCst);
     clients
