Delimit endpoint lists as JSON objects, not as lines

What callers saw: once discovery wrote its list over several lines, a node learned of no change any more. Requests went on to draining servers, and the whole list was requested every 50 ms.

Cause: the watch was cut at each end of line and each piece decoded as a list.

Fix: JsonObjects follows strings, escapes and nesting, and returns an object with its last brace, wherever the bytes are cut. Of white space between two tokens it keeps one byte, so an indented list needs no more memory than a compact one; other bytes are bounded at 4 MiB as before, and the 2.8 s for a list that does not end stay. A byte that cannot belong to a sequence of objects, or a control character in a string, ends the watch at once.

Tests: list_in_any_layout_takes_effect_without_another_watch failed before at its first case (the change took no effect in 20 s) and passes in all 22.

--- a/src/node/discovery/endpoint_list/mod.rs
+++ b/src/node/discovery/endpoint_list/mod.rs
@@ -2,7 +2,7 @@
 //! whenever it ends, times out or delivers an invalid list.
 
 pub mod decode;
-mod lines;
+mod json_objects;
 mod timing;
 mod watch;
 
--- a/src/node/discovery/endpoint_list/timing.rs
+++ b/src/node/discovery/endpoint_list/timing.rs
@@ -8,7 +8,7 @@
 /// Maximum time until a change takes effect, from the moment at which discovery has it and is
 /// reachable.
 pub const PROPAGATION_DEADLINE: Duration = Duration::from_secs(6);
-/// Time after which a watch is closed if it receives nothing, or if a line that has begun does not
+/// Time after which a watch is closed if it receives nothing, or if a list that has begun does not
 /// end. Discovery sends an empty line every 2 s while nothing changes.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_800);
 /// The delay before a watch that received data is reopened. After each attempt that receives nothing,
--- a/src/node/discovery/endpoint_list/watch.rs
+++ b/src/node/discovery/endpoint_list/watch.rs
@@ -1,5 +1,5 @@
-//! A single watch on the endpoint list: it is opened by a request, and receives lists line by line
-//! until it fails.
+//! A single watch on the endpoint list: it is opened by a request, and receives lists, each of them a JSON object, until it
+//! fails.
 
 use std::convert::Infallible;
 use std::fmt;
@@ -14,7 +14,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 
-use super::lines::LineBuffer;
+use super::json_objects::{JsonObjects, JsonObjectsError};
 use super::timing::SILENCE_TIMEOUT;
 use crate::node::config::EndpointList;
 use crate::node::discovery::connection::Connection;
@@ -35,8 +35,8 @@
     Status(StatusCode),
     /// Nothing was received for [`SILENCE_TIMEOUT`].
     SilenceTimeout,
-    /// A line began but did not end within [`SILENCE_TIMEOUT`].
-    LineTimeout,
+    /// A list began but did not end within [`SILENCE_TIMEOUT`].
+    ListTimeout,
     /// Discovery closed the watch.
     Closed,
     /// Discovery delivered an invalid list. The current generation is no longer reliable, so the next
@@ -47,13 +47,13 @@
 /// Error in a list from discovery.
 #[derive(Debug)]
 pub enum ListError {
-    /// The line is not an endpoint list in JSON.
+    /// The object is not an endpoint list.
     Malformed(serde_json::Error),
     /// A list of changes has a lower generation than the current list: discovery has restarted, and
     /// the changes do not apply to the current list.
     GenerationDecreased,
-    /// A line is too long.
-    LineTooLong,
+    /// What was received is not a sequence of JSON objects of limited length.
+    Undelimited(JsonObjectsError),
 }
 
 impl fmt::Display for WatchError {
@@ -65,7 +65,7 @@
             Self::OpenTimeout => f.write_str("opening timed out"),
             Self::Status(status) => write!(f, "discovery responded with status {status}"),
             Self::SilenceTimeout => f.write_str("no data was received in time"),
-            Self::LineTimeout => f.write_str("a line did not end in time"),
+            Self::ListTimeout => f.write_str("a list did not end in time"),
             Self::Closed => f.write_str("discovery closed the watch"),
             Self::Invalid(error) => write!(f, "invalid list: {error}"),
         }
@@ -89,7 +89,7 @@
         match self {
             Self::Malformed(error) => write!(f, "{error}"),
             Self::GenerationDecreased => f.write_str("its generation decreased"),
-            Self::LineTooLong => f.write_str("a line is too long"),
+            Self::Undelimited(error) => write!(f, "{error}"),
         }
     }
 }
@@ -98,7 +98,8 @@
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
             Self::Malformed(error) => Some(error),
-            Self::GenerationDecreased | Self::LineTooLong => None,
+            Self::Undelimited(error) => Some(error),
+            Self::GenerationDecreased => None,
         }
     }
 }
@@ -109,6 +110,18 @@
     }
 }
 
+impl From<ListError> for WatchError {
+    fn from(error: ListError) -> Self {
+        Self::Invalid(error)
+    }
+}
+
+impl From<JsonObjectsError> for WatchError {
+    fn from(error: JsonObjectsError) -> Self {
+        Self::Invalid(ListError::Undelimited(error))
+    }
+}
+
 /// State that is kept across watches.
 #[derive(Debug)]
 pub struct WatchState {
@@ -132,30 +145,24 @@
 ) -> Result<Infallible, WatchError> {
     let opened = tokio::time::timeout(open_timeout, open(address, state.generation)).await;
     let (mut body, _connection) = opened.map_err(|_| WatchError::OpenTimeout)??;
-    let mut lines = LineBuffer::default();
-    // Start time of the current incomplete line.
-    let mut line_started_at = None::<Instant>;
+    let mut objects = JsonObjects::default();
+    // Start time of the current incomplete list.
+    let mut list_started_at = None::<Instant>;
     loop {
-        let piece = next_piece(&mut body, line_started_at).await?;
+        let piece = next_piece(&mut body, list_started_at).await?;
         state.has_received = true;
         let Some(piece) = piece else {
             continue;
         };
-        lines.push(&piece);
-        let mut completed_line = false;
-        while let Some(line) = lines.next_line() {
-            completed_line = true;
-            let list = decode_list(&line, state.generation).map_err(WatchError::Invalid)?;
+        let mut unread = &piece[..];
+        while let Some(object) = objects.next_object(&mut unread)? {
+            list_started_at = None;
+            let list = decode_list(&object, state.generation)?;
             updates.receive_list(&list);
             state.generation = Some(list.generation);
         }
-        line_started_at = match line_started_at {
-            _ if !lines.has_partial_line() => None,
-            Some(started_at) if !completed_line => Some(started_at),
-            _ => Some(Instant::now()),
-        };
-        if lines.is_too_long() {
-            return Err(WatchError::Invalid(ListError::LineTooLong));
+        if objects.is_within_object() {
+            list_started_at.get_or_insert_with(Instant::now);
         }
     }
 }
@@ -184,10 +191,10 @@
 /// Returns the next piece of the body; `None` for a frame without data.
 async fn next_piece(
     body: &mut Incoming,
-    line_started_at: Option<Instant>,
+    list_started_at: Option<Instant>,
 ) -> Result<Option<Bytes>, WatchError> {
-    let line_timeout = async {
-        match line_started_at {
+    let list_timeout = async {
+        match list_started_at {
             Some(started_at) => {
                 tokio::time::sleep_until((started_at + SILENCE_TIMEOUT).into()).await;
             }
@@ -197,15 +204,15 @@
     let frame = tokio::select! {
         biased;
         frame = tokio::time::timeout(SILENCE_TIMEOUT, body.frame()) => frame,
-        () = line_timeout => return Err(WatchError::LineTimeout),
+        () = list_timeout => return Err(WatchError::ListTimeout),
     };
     let frame = frame.map_err(|_| WatchError::SilenceTimeout)?;
     let frame = frame.ok_or(WatchError::Closed)??;
     Ok(frame.into_data().ok())
 }
 
-fn decode_list(line: &[u8], current_generation: Option<u64>) -> Result<EndpointList, ListError> {
-    let list: EndpointList = serde_json::from_slice(line).map_err(ListError::Malformed)?;
+fn decode_list(object: &[u8], current_generation: Option<u64>) -> Result<EndpointList, ListError> {
+    let list: EndpointList = serde_json::from_slice(object).map_err(ListError::Malformed)?;
     let is_older = current_generation.is_some_and(|current| list.generation < current);
     if is_older && !list.reset {
         return Err(ListError::GenerationDecreased);
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -346,3 +346,141 @@
         "a generation of the old discovery was sent to the new one"
     );
 }
+
+/// How a list is written.
+#[derive(Clone, Copy, Debug)]
+enum Layout {
+    /// Indented, with this line end.
+    Indented(&'static str),
+    /// Without a line end behind it.
+    Unterminated,
+    /// Behind and before other lists, in one chunk.
+    WithinSeveral,
+    /// With more white space between two tokens than a list may have of other bytes.
+    Spaced,
+}
+
+/// How the bytes of a list are divided into chunks.
+#[derive(Clone, Copy, Debug)]
+enum Division {
+    Whole,
+    SingleBytes,
+}
+
+impl Layout {
+    const ALL: [Self; 6] = [
+        Self::Indented("\n"),
+        Self::Indented("\r\n"),
+        Self::Indented("\r"),
+        Self::Unterminated,
+        Self::WithinSeveral,
+        Self::Spaced,
+    ];
+
+    /// The list of generation 3 in this layout.
+    fn write(self, list: &str) -> String {
+        match self {
+            Self::Indented(line_end) => {
+                let value: serde_json::Value =
+                    serde_json::from_str(list).expect("the list is valid JSON");
+                format!("{value:#}\n").replace('\n', line_end)
+            }
+            Self::Unterminated => list.to_owned(),
+            Self::WithinSeveral => {
+                let [before, after] = [2, 4].map(|number| endpoint_list(number, false, &[]));
+                format!("{before}{list}\n{after}")
+            }
+            Self::Spaced => list.replace(',', &format!(",{}", " ".repeat(1 << 20))),
+        }
+    }
+}
+
+/// Writes chunks of a watch whose head has been written. `None` if the node has closed the watch.
+fn write_divided(stream: &mut TcpStream, text: &str, division: Division) -> Option<()> {
+    match division {
+        Division::Whole => stream.write_all(chunk(text).as_bytes()).ok(),
+        Division::SingleBytes => {
+            let chunks: String = text.chars().map(|byte| chunk(&byte.to_string())).collect();
+            stream.write_all(chunks.as_bytes()).ok()
+        }
+    }
+}
+
+/// Guards against a watch that is closed, again and again, for the layout of its lists, so that no change takes effect.
+#[test]
+fn list_in_any_layout_takes_effect_without_another_watch() {
+    for subscribed in [false, true] {
+        for layout in Layout::ALL {
+            for division in [Division::Whole, Division::SingleBytes] {
+                if matches!((layout, division), (Layout::Spaced, Division::SingleBytes)) {
+                    continue; // Millions of chunks would take longer than a list may take.
+                }
+                let case = format!("{layout:?}, {division:?}, subscribed: {subscribed}");
+                let cluster = Cluster::new(subscribed);
+                let discovery = TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
+                let node = Node::start(&cluster.config(&discovery, 1));
+                let (mut watch, _) = next_watch(&discovery);
+                watch.write_all(HEAD.as_bytes()).expect("write the head");
+                let text = layout.write(&cluster.list(3, true, "draining"));
+                write_divided(&mut watch, &text, division)
+                    .unwrap_or_else(|| panic!("{case}: the watch was closed"));
+                let mut id = 0;
+                wait_until(&case, || {
+                    (0..8).all(|_| {
+                        id += 1;
+                        node.request(&read_request(&format!("known-{id}"), "15000m"))
+                            .body
+                            == b"1"
+                    })
+                });
+                let log = node.log().join("\n");
+                assert!(!log.contains("invalid list"), "{case}: {log}");
+            }
+        }
+    }
+}
+
+/// Guards against memory that grows with a list that never ends, and against a watch that is kept for one.
+#[test]
+fn watch_with_a_broken_or_endless_list_is_closed() {
+    const MAX_GROWTH_KIB: usize = 16 * 1024;
+    let list = endpoint_list(2, false, &[]);
+    let endless = "x".repeat(64 * 1024);
+    for (beginning, repeated) in [
+        ("[", ""),
+        ("{\"generation\":2}}", ""),
+        ("{\"generation\":2,\"instances\":[}", ""),
+        ("{\"generation\":2 3}", ""),
+        ("{\"generation\n", ""),
+        (&list[..20], ""),
+        ("{\"generation\":\"", &endless),
+        ("{\"generation\":[", &"[".repeat(64 * 1024)),
+        ("{\"generation\":", &" \n".repeat(32 * 1024)),
+    ] {
+        let cluster = Cluster::new(false);
+        let discovery = TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
+        let node = Node::start(&cluster.config(&discovery, 1));
+        let (mut watch, _) = next_watch(&discovery);
+        let memory_before = node.memory_kib(MemoryKind::Resident);
+        watch
+            .write_all(format!("{HEAD}{}", chunk(beginning)).as_bytes())
+            .expect("write the beginning");
+        watch
+            .set_write_timeout(Some(WAIT_TIMEOUT))
+            .expect("configure the socket");
+        let repeated = chunk(repeated);
+        let started_at = Instant::now();
+        while repeated.len() > 10 && watch.write_all(repeated.as_bytes()).is_ok() {
+            assert!(started_at.elapsed() < WAIT_TIMEOUT, "{beginning:?}");
+        }
+        let (mut second, request_line) = next_watch(&discovery);
+        let elapsed = started_at.elapsed();
+        assert!(elapsed < PROPAGATION_DEADLINE, "{beginning:?}: {elapsed:?}");
+        let growth = node
+            .memory_kib(MemoryKind::Resident)
+            .saturating_sub(memory_before);
+        assert!(growth < MAX_GROWTH_KIB, "{beginning:?}: {growth} KiB");
+        let is_full = !request_line.contains("from=");
+        cluster.drain_first_server(&mut second, &node, 5, is_full);
+    }
+}
