Refuse requests whose ids cannot be kept instead of forgetting others

What callers saw: a non-idempotent request whose client had left ran a second time when its id came again, if over 8,192 other clients had left meanwhile.

Cause: the table of kept ids dropped the oldest one at its bound. Now it refuses the new request, with 503 and Retry-After, before it runs; idempotent requests go on without a record.

--- /dev/null
+++ b/crates/request-ids/src/lib.rs
@@ -0,0 +1,45 @@
+//! The ids of requests that must not run again: state machines without I/O, to which the time is passed.
+//!
+//! An id is *open* while its request is. It is *kept* for [`RETENTION_MS`] after a request that may have run and must not be
+//! repeated, and whose client did not get a server's response. An open or kept id is rejected. A table without room for another
+//! id refuses it; it never forgets one.
+//!
+mod hash;
+mod local;
+
+pub use hash::{HashKey, IdHash};
+pub use local::LocalTable;
+
+/// Time for which the id of a request that may have run is kept after its end, in milliseconds.
+pub const RETENTION_MS: u64 = 60_000;
+
+use std::fmt;
+
+/// Reason for which an id is not reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReserveError {
+    /// The id is open or kept.
+    InUse,
+    /// The table has no room for it.
+    Full,
+}
+
+impl fmt::Display for ReserveError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::InUse => "the request id is in use",
+            Self::Full => "the table of request ids is full",
+        })
+    }
+}
+
+impl std::error::Error for ReserveError {}
+
+/// How a request ended, as far as its id is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// The id may be used again: the request has not run, may be repeated, or its client got a server's response.
+    Released,
+    /// The request may have run and must not be repeated.
+    MayHaveRun,
+}
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -150,6 +150,12 @@
         self.client_connections() + self.server_connections()
     }
 
+    /// The memory that the ids of requests may use, in bytes.
+    #[must_use]
+    pub fn request_id_bytes(self) -> usize {
+        self.memory_share(1) / 2
+    }
+
     /// The memory that messages may use, in bytes: what the process with an endpoint list of `endpoints` entries and its
     /// connections leave, at most half of the memory.
     #[must_use]
--- a/src/node/downstream/request_handler.rs
+++ b/src/node/downstream/request_handler.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use admin::Counter;
+use balancer::Idempotency;
 use flow_control::Reservation;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
@@ -15,7 +16,7 @@
 use crate::node::downstream::body_stream::{body_stream, ResponseStream, Upload};
 use crate::node::downstream::connection_table::TrackedConnection;
 use crate::node::downstream::request_body::{BufferedBody, IncomingUpload, UploadError};
-use crate::node::downstream::request_ids::OpenRequestId;
+use crate::node::downstream::request_ids::{OpenRequestId, RejectedId, RepeatPolicy};
 use crate::node::downstream::request_metadata::{
     remove_hop_by_hop_headers, sticky_key, RequestMetadata,
 };
@@ -35,6 +36,9 @@
 /// `Retry-After` for a request that is rejected because no memory for its body became free: by then some of the requests
 /// that hold it have ended.
 const FREE_MEMORY_RETRY_MS: f64 = 250.0;
+/// `Retry-After` for a request that is rejected because there is no room for its id: ids are kept for a minute, and some
+/// expire every second.
+const FREE_REQUEST_ID_RETRY_MS: f64 = 1_000.0;
 
 /// Handles one request. Dropping the future abandons the request and its attempts.
 pub(super) async fn handle_request(
@@ -138,10 +142,12 @@
         tenant,
         deadline,
     } = metadata;
-    let open_id = state
-        .request_ids
-        .reserve(&id)
-        .ok_or(InvalidRequest::DUPLICATE_ID)?;
+    let policy = repeat_policy(dispatcher.names.rules[class].idempotency);
+    let open_id = match state.options.request_ids.reserve(&id, policy) {
+        Ok(open_id) => open_id,
+        Err(RejectedId::InUse) => return Err(InvalidRequest::DUPLICATE_ID),
+        Err(RejectedId::TableFull) => return Ok(rejected_after(FREE_REQUEST_ID_RETRY_MS)),
+    };
     socket.connection.hold_request_id(Rc::clone(&open_id));
     let sticky_key = head.uri.query().and_then(sticky_key);
     let connection = &socket.connection;
@@ -150,16 +156,10 @@
     let buffered = match upload.buffer(connection, state).await {
         Ok(buffered) => buffered,
         Err(UploadError::Invalid(invalid)) => return Err(invalid),
-        Err(UploadError::MemoryExhausted) => {
-            return Ok(FinalResponse::Rejected {
-                retry_after_ms: Some(FREE_MEMORY_RETRY_MS),
-            })
-        }
+        Err(UploadError::MemoryExhausted) => return Ok(rejected_after(FREE_MEMORY_RETRY_MS)),
     };
     if must_keep_connections_free(state) {
-        return Ok(FinalResponse::Rejected {
-            retry_after_ms: Some(FREE_CONNECTION_RETRY_MS),
-        });
+        return Ok(rejected_after(FREE_CONNECTION_RETRY_MS));
     }
     let (body, arrival, upload_sender) = match buffered {
         BufferedBody::Complete(body) => {
@@ -200,6 +200,19 @@
     Ok(request.response().await)
 }
 
+fn rejected_after(retry_after_ms: f64) -> FinalResponse {
+    FinalResponse::Rejected {
+        retry_after_ms: Some(retry_after_ms),
+    }
+}
+
+fn repeat_policy(idempotency: Idempotency) -> RepeatPolicy {
+    match idempotency {
+        Idempotency::Idempotent => RepeatPolicy::Repeatable,
+        Idempotency::IdempotencyKey { .. } | Idempotency::NonIdempotent => RepeatPolicy::RunOnce,
+    }
+}
+
 /// Returns whether a draining node must reject a request so that clients find free connections. A node that shares its
 /// listening socket never rejects for this reason: clients connect to the other process.
 fn must_keep_connections_free(state: &ServerState) -> bool {
--- a/src/node/downstream/server.rs
+++ b/src/node/downstream/server.rs
@@ -41,6 +41,8 @@
     pub is_listener_shared: bool,
     /// Limit on open connections.
     pub max_connections: usize,
+    /// The ids of the requests.
+    pub request_ids: Rc<RequestIds>,
 }
 
 impl ServerOptions {
@@ -52,6 +54,7 @@
             drain: Rc::default(),
             is_listener_shared: false,
             max_connections,
+            request_ids: Rc::default(),
         }
     }
 }
@@ -62,7 +65,6 @@
     pub(super) options: ServerOptions,
     pub(super) table: Rc<ConnectionTable>,
     pub(super) memory: Rc<NodeMemory>,
-    pub(super) request_ids: Rc<RequestIds>,
 }
 
 /// Serves clients until the node has stopped accepting connections and all connections are closed.
@@ -76,7 +78,6 @@
         dispatcher,
         table: ConnectionTable::new(options.max_connections),
         options,
-        request_ids: Rc::default(),
     });
     tokio::select! {
         () = accept_until_shutdown(listener, &state) => {}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -42,6 +42,7 @@
 use self::discovery::ConsulFollowers;
 use self::dispatcher::Dispatcher;
 use self::downstream::inherited;
+use self::downstream::request_ids::RequestIds;
 use self::downstream::server::{self, Phase, ServerOptions};
 use self::shutdown::{ShutdownSchedule, StopSignals};
 use self::system_error::retry_at_start;
@@ -148,6 +149,7 @@
     let (phase_sender, phases) = watch::channel(Phase::Serving);
     let server_options = ServerOptions {
         is_listener_shared: is_shared,
+        request_ids: Rc::new(RequestIds::local(config.limits.request_id_bytes())),
         ..ServerOptions::for_unshared_listener(phases, config.limits.client_connections())
     };
     if let Some(address) = config.admin_listen {
--- a/tests/request_ids.rs
+++ b/tests/request_ids.rs
@@ -1,8 +1,9 @@
 //! Requests whose clients leave: nothing more is sent for them, and their ids do not run again.
 
+use std::collections::HashSet;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -226,3 +227,48 @@
     let _ = status_of(new.address, &message);
     assert_eq!(runs(&servers, "upgrade"), 1);
 }
+
+/// Guards against ids that are dropped to make room for others: a process that has no room for another id refuses it.
+#[test]
+fn ids_of_clients_that_left_run_once_however_many_there_are() {
+    const IDS: usize = 700;
+    let seen = Mutex::new(HashSet::new());
+    let server = Server::start(move |request| {
+        let id = request.header("req-id").map(str::to_owned);
+        let mut seen = seen.lock().expect("no thread panics with the lock held");
+        if seen.insert(id) {
+            Reply::NoResponse
+        } else {
+            Reply::ok("ran again")
+        }
+    });
+    let discovery = Discovery::start();
+    let list = endpoint_list(1, true, &[server.endpoint_entry("s-0", "ready")]);
+    let text = config(discovery.address, &list, &settings(5_000))
+        .replace("\"memory_mb\":192", "\"memory_mb\":2");
+    let node = Node::start(&text);
+    let messages: Vec<_> = (0..IDS)
+        .map(|number| request(&format!("left-{number}"), "pay", 1))
+        .collect();
+    let mut that_ran = Vec::new();
+    for message in &messages {
+        let before = server.request_count();
+        let mut stream = TcpStream::connect(node.address).expect("connect to the node");
+        stream.write_all(message).expect("write the request");
+        stream
+            .set_nonblocking(true)
+            .expect("configure the connection");
+        wait_until("the request runs or is refused", || {
+            let is_refused = stream.peek(&mut [0]).is_ok_and(|bytes| bytes > 0);
+            is_refused || server.request_count() > before
+        });
+        if server.request_count() > before {
+            that_ran.push(message);
+        }
+    }
+    assert!(that_ran.len() < IDS, "the table is never full");
+    for message in &that_ran[..200] {
+        assert_eq!(status_of(node.address, message), Some(409));
+    }
+    assert_eq!(server.request_count(), that_ran.len(), "no id runs twice");
+}
