Share the ids of requests among processes that replace one another

What callers saw: while one process of a node replaced another on one listening socket, a non-idempotent request ran a second time, at once or after its client had left, when its id came again at the other process, and whoever sent it was served.

Cause: open and kept ids were in the memory of one process, and the kernel deals out the connections of the socket to all.

Fix: the ids are in a file in memory that all processes of the socket have open, in buckets that are read and written under a byte lock. Each process holds a lock for as long as it runs; the kernel releases it however the process ends, and what was open there and must not run twice is then kept for a minute. A process that starts finds the file through /proc by the inode of the socket, in processes of its own user, so none has to respond and nothing is opened to others.

--- a/crates/request-ids/src/hash.rs
+++ b/crates/request-ids/src/hash.rs
@@ -5,10 +5,23 @@
 
 use siphasher::sip::SipHasher24;
 
-/// The hash of an id. It is never zero.
+/// The hash of an id. It is never zero, which marks a free slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct IdHash(NonZeroU64);
 
+impl IdHash {
+    /// The hash with this value; `None` for zero.
+    pub(crate) fn from_value(value: u64) -> Option<Self> {
+        NonZeroU64::new(value).map(Self)
+    }
+
+    /// The hash as a number.
+    #[must_use]
+    pub fn value(self) -> u64 {
+        self.0.get()
+    }
+}
+
 /// The random key of the hashes in a table, so that clients cannot choose ids with equal hashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HashKey(pub [u64; 2]);
--- a/crates/request-ids/src/lib.rs
+++ b/crates/request-ids/src/lib.rs
@@ -4,15 +4,22 @@
 //! repeated, and whose client did not get a server's response. An open or kept id is rejected. A table without room for another
 //! id refuses it; it never forgets one.
 //!
+//! [`LocalTable`] serves a process that accepts its clients alone. Where several processes accept from one socket, they share a
+//! file of [`Bucket`]s, which [`Layout`] and [`Header`] describe; each process reads and writes a bucket while it holds the
+//! bucket's lock. An id that was open at a process that has ended counts as kept if its request must not be repeated.
+
+mod bucket;
+mod entry;
 mod hash;
+mod layout;
 mod local;
 
+pub use bucket::{Bucket, SlotIndex, BUCKET_BYTES, BUCKET_SLOTS};
+pub use entry::{OwnerId, RepeatPolicy, RETENTION_MS};
 pub use hash::{HashKey, IdHash};
+pub use layout::{Header, HeaderError, Layout, HEADER_BYTES};
 pub use local::LocalTable;
 
-/// Time for which the id of a request that may have run is kept after its end, in milliseconds.
-pub const RETENTION_MS: u64 = 60_000;
-
 use std::fmt;
 
 /// Reason for which an id is not reserved.
--- a/src/node/downstream/inherited.rs
+++ b/src/node/downstream/inherited.rs
@@ -8,7 +8,7 @@
 use listenfd::ListenFd;
 
 /// Environment variable in which the platform passes the number of the file descriptor.
-const DESCRIPTOR_VARIABLE: &str = "ROUTER_LISTEN_FD";
+pub(super) const DESCRIPTOR_VARIABLE: &str = "ROUTER_LISTEN_FD";
 /// Environment variables of systemd's socket activation protocol, which `listenfd` implements.
 const COUNT_VARIABLE: &str = "LISTEN_FDS";
 const FIRST_DESCRIPTOR_VARIABLE: &str = "LISTEN_FDS_FIRST_FD";
--- a/src/node/downstream/request_handler.rs
+++ b/src/node/downstream/request_handler.rs
@@ -11,12 +11,13 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
+use request_ids::RepeatPolicy;
 
 use crate::node::dispatcher::{Arrival, FinalResponse, NewRequest};
 use crate::node::downstream::body_stream::{body_stream, ResponseStream, Upload};
 use crate::node::downstream::connection_table::TrackedConnection;
 use crate::node::downstream::request_body::{BufferedBody, IncomingUpload, UploadError};
-use crate::node::downstream::request_ids::{OpenRequestId, RejectedId, RepeatPolicy};
+use crate::node::downstream::request_ids::{OpenRequestId, RejectedId};
 use crate::node::downstream::request_metadata::{
     remove_hop_by_hop_headers, sticky_key, RequestMetadata,
 };
@@ -39,6 +40,8 @@
 /// `Retry-After` for a request that is rejected because there is no room for its id: ids are kept for a minute, and some
 /// expire every second.
 const FREE_REQUEST_ID_RETRY_MS: f64 = 1_000.0;
+/// `Retry-After` for a request that is rejected because another process may know its id and cannot be asked.
+const SHARED_REQUEST_IDS_RETRY_MS: f64 = 250.0;
 
 /// Handles one request. Dropping the future abandons the request and its attempts.
 pub(super) async fn handle_request(
@@ -143,10 +146,11 @@
         deadline,
     } = metadata;
     let policy = repeat_policy(dispatcher.names.rules[class].idempotency);
-    let open_id = match state.options.request_ids.reserve(&id, policy) {
+    let open_id = match state.options.request_ids.reserve(&id, policy).await {
         Ok(open_id) => open_id,
         Err(RejectedId::InUse) => return Err(InvalidRequest::DUPLICATE_ID),
         Err(RejectedId::TableFull) => return Ok(rejected_after(FREE_REQUEST_ID_RETRY_MS)),
+        Err(RejectedId::Unavailable) => return Ok(rejected_after(SHARED_REQUEST_IDS_RETRY_MS)),
     };
     socket.connection.hold_request_id(Rc::clone(&open_id));
     let sticky_key = head.uri.query().and_then(sticky_key);
--- a/src/node/downstream/request_ids.rs
+++ b/src/node/downstream/request_ids.rs
@@ -1,29 +1,37 @@
 //! The ids of requests that must not be executed again: those that are open, and for a while those that may have run, whose
-//! repeat could do harm, and whose clients have not got a server's response. Owns the table of the ids. Invariant: two requests with
-//! one id, of which one must not run twice, are never open at the same time.
+//! repeat could do harm, and whose clients have not got a server's response. Owns the table of this process, or its access to
+//! the table that it shares with the other processes that accept connections from its listening socket. Invariant: two requests
+//! with one id, of which one must not run twice, are never open at the same time.
 //!
 //! Clients give each request, and each retry of it, a new id. An id that comes again belongs to a client that sends a request
 //! once more although it may have run, or to one that uses the id of another client's request.
 
+mod range_lock;
+mod shared_table;
+mod socket_users;
+
 use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::TcpListener;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::header::HeaderValue;
-use request_ids::{HashKey, IdHash, LocalTable, RequestEnd, ReserveError};
+use request_ids::{HashKey, IdHash, LocalTable, RepeatPolicy, RequestEnd, ReserveError, SlotIndex};
 use rustix::time::{clock_gettime, ClockId};
+use tokio::time::Instant;
+
+use shared_table::{AccessError, SharedTable};
 
 /// Memory that an id takes in the table of a process, in bytes: its hash table and queue just after they have grown.
 const BYTES_PER_ID: usize = 64;
 /// Number of ids that a table has room for unless the configuration says otherwise.
 const DEFAULT_MAX_IDS: usize = 8_192;
-/// Whether a request may run again after it may have run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RepeatPolicy {
-    /// Its repeat is harmless.
-    Repeatable,
-    /// It must not run again.
-    RunOnce,
-}
+/// Time for which a request waits while another process uses its part of the shared table. A process does so for some
+/// microseconds, unless it is stopped just then.
+const LOCK_TIMEOUT: Duration = Duration::from_millis(50);
+/// Pause between two attempts to use the shared table.
+const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Reason for which a request is not accepted under its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,21 +40,30 @@
     InUse,
     /// It must not run twice, and there is no room to remember it.
     TableFull,
+    /// It must not run twice, and another process of this node may know its id and cannot be asked.
+    Unavailable,
 }
 
-/// The ids of the requests of this process.
+/// The ids of the requests of this process, and of those that share its listening socket.
 #[derive(Debug)]
 pub struct RequestIds {
     key: HashKey,
-    table: RefCell<LocalTable>,
+    table: Table,
+}
+
+#[derive(Debug)]
+enum Table {
+    Local(RefCell<LocalTable>),
+    Shared(SharedTable),
 }
 
 /// Where the id of an open request is recorded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 enum Record {
-    /// Nowhere: the request may be repeated, and the table was full.
+    /// Nowhere: the request may be repeated, and the table was full or not available.
     None,
-    Table,
+    Local,
+    Shared(SlotIndex),
 }
 
 impl Default for RequestIds {
@@ -56,7 +73,7 @@
 }
 
 impl RequestIds {
-    /// The ids of a process, with a table of up to this number of bytes.
+    /// The ids of a process that accepts its clients alone, with a table of up to this number of bytes.
     #[must_use]
     pub fn local(max_bytes: usize) -> Self {
         Self::with_capacity(max_bytes / BYTES_PER_ID)
@@ -65,7 +82,29 @@
     fn with_capacity(max_ids: usize) -> Self {
         Self {
             key: HashKey(random_key()),
-            table: RefCell::new(LocalTable::new(max_ids)),
+            table: Table::Local(RefCell::new(LocalTable::new(max_ids))),
+        }
+    }
+
+    /// The ids of all processes that accept connections from this socket. The first one creates their table, with up to this
+    /// number of bytes.
+    ///
+    /// # Errors
+    ///
+    /// The table cannot be created.
+    pub async fn shared(listener: &TcpListener, max_bytes: usize) -> io::Result<Self> {
+        let table = SharedTable::open(listener, max_bytes, HashKey(random_key())).await?;
+        Ok(Self {
+            key: table.key(),
+            table: Table::Shared(table),
+        })
+    }
+
+    /// Watches for processes that accept connections from the same socket and do not share their ids; see
+    /// [`RejectedId::Unavailable`]. Returns once there is none, and at once if the table is not shared.
+    pub async fn watch_other_processes(&self) {
+        if let Table::Shared(table) = &self.table {
+            table.wait_for_unaware_processes().await;
         }
     }
 
@@ -74,17 +113,16 @@
     /// # Errors
     ///
     /// See [`RejectedId`]. A request that may be repeated is rejected only if its id is known to be in use.
-    pub fn reserve(
+    pub async fn reserve(
         self: &Rc<Self>,
         id: &HeaderValue,
         policy: RepeatPolicy,
     ) -> Result<Rc<OpenRequestId>, RejectedId> {
         let id = self.key.hash(id.as_bytes());
-        let reserved = self.table.borrow_mut().reserve(id, monotonic_ms());
-        let record = match reserved {
-            Ok(()) => Record::Table,
-            Err(ReserveError::Full) if policy == RepeatPolicy::Repeatable => Record::None,
-            Err(error) => return Err(error.into()),
+        let is_repeatable = policy == RepeatPolicy::Repeatable;
+        let record = match self.reserve_in_table(id, policy).await {
+            Err(RejectedId::TableFull | RejectedId::Unavailable) if is_repeatable => Record::None,
+            result => result?,
         };
         Ok(Rc::new(OpenRequestId {
             ids: Rc::clone(self),
@@ -95,6 +133,61 @@
             is_written: Cell::default(),
         }))
     }
+
+    async fn reserve_in_table(
+        &self,
+        id: IdHash,
+        policy: RepeatPolicy,
+    ) -> Result<Record, RejectedId> {
+        match &self.table {
+            Table::Local(table) => table
+                .borrow_mut()
+                .reserve(id, monotonic_ms())
+                .map(|()| Record::Local)
+                .map_err(RejectedId::from),
+            Table::Shared(table) => {
+                let slot = reserve_shared(table, id, policy).await?;
+                if policy == RepeatPolicy::RunOnce && table.has_unaware_processes() {
+                    table.end(id, slot, RequestEnd::Released, monotonic_ms());
+                    return Err(RejectedId::Unavailable);
+                }
+                Ok(Record::Shared(slot))
+            }
+        }
+    }
+
+    fn end(&self, id: IdHash, record: Record, end: RequestEnd) {
+        match (&self.table, record) {
+            (Table::Local(table), Record::Local) => {
+                table.borrow_mut().end(id, end, monotonic_ms());
+            }
+            (Table::Shared(table), Record::Shared(slot)) => {
+                table.end(id, slot, end, monotonic_ms());
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Reserves an id in the shared table, and waits while another process uses the part with this id.
+async fn reserve_shared(
+    table: &SharedTable,
+    id: IdHash,
+    policy: RepeatPolicy,
+) -> Result<SlotIndex, RejectedId> {
+    let give_up_at = Instant::now() + LOCK_TIMEOUT;
+    loop {
+        match table.reserve(id, policy, monotonic_ms()) {
+            Ok(result) => return result.map_err(RejectedId::from),
+            Err(AccessError::Locked) if Instant::now() < give_up_at => {
+                tokio::time::sleep(LOCK_RETRY_INTERVAL).await;
+            }
+            Err(error) => {
+                table.log_failure(&error);
+                return Err(RejectedId::Unavailable);
+            }
+        }
+    }
 }
 
 impl From<ReserveError> for RejectedId {
@@ -106,7 +199,7 @@
     }
 }
 
-/// Time since the start of the machine, in milliseconds. Steps of the wall clock do not affect it.
+/// Time since the start of the machine, in milliseconds: the same in all processes, and not affected by steps of the wall clock.
 fn monotonic_ms() -> u64 {
     let now = clock_gettime(ClockId::Monotonic);
     now.tv_sec.unsigned_abs() * 1_000 + now.tv_nsec.unsigned_abs() / 1_000_000
@@ -160,12 +253,7 @@
         } else {
             RequestEnd::Released
         };
-        if self.record == Record::Table {
-            self.ids
-                .table
-                .borrow_mut()
-                .end(self.id, end, monotonic_ms());
-        }
+        self.ids.end(self.id, self.record, end);
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -125,7 +125,8 @@
     let ClientListener {
         listener,
         is_shared,
-    } = ClientListener::open(config.listen).await?;
+        request_ids,
+    } = ClientListener::open(config.listen, config.limits.request_id_bytes()).await?;
     let address = local_address(&listener, LISTEN_FOR_CLIENT_CONNECTIONS)?;
     let dispatcher = Dispatcher::start_with(
         &config,
@@ -149,7 +150,7 @@
     let (phase_sender, phases) = watch::channel(Phase::Serving);
     let server_options = ServerOptions {
         is_listener_shared: is_shared,
-        request_ids: Rc::new(RequestIds::local(config.limits.request_id_bytes())),
+        request_ids: Rc::clone(&request_ids),
         ..ServerOptions::for_unshared_listener(phases, config.limits.client_connections())
     };
     if let Some(address) = config.admin_listen {
@@ -160,6 +161,7 @@
         );
         start_admin_server(address, server).await?;
     }
+    tokio::task::spawn_local(async move { request_ids.watch_other_processes().await });
     let schedule = ShutdownSchedule::new(dispatcher.names.max_timeout());
     tokio::select! {
         () = server::serve(listener, Rc::clone(&dispatcher), server_options) => {}
@@ -203,21 +205,32 @@
     listener: TcpListener,
     /// Whether it was inherited from the platform, so that other processes may accept connections from it, too.
     is_shared: bool,
+    /// The ids of the requests that arrive on it.
+    request_ids: Rc<RequestIds>,
 }
 
 impl ClientListener {
-    /// Uses the socket inherited from the platform; without one, binds to `address`.
-    async fn open(address: SocketAddr) -> Result<Self, NodeError> {
+    /// Uses the socket inherited from the platform; without one, binds to `address`. The ids of requests may use
+    /// `request_id_bytes` of memory.
+    async fn open(address: SocketAddr, request_id_bytes: usize) -> Result<Self, NodeError> {
         let inherited =
             inherited::listener().map_err(system_error("use the inherited listening socket"))?;
         let is_shared = inherited.is_some();
-        let listener = match inherited {
-            Some(inherited) => TcpListener::from_std(inherited),
-            None => retry_at_start(|| TcpListener::bind(address)).await,
+        let (listener, request_ids) = match inherited {
+            Some(inherited) => {
+                let request_ids = RequestIds::shared(&inherited, request_id_bytes).await;
+                let request_ids = request_ids.map_err(system_error("share the request ids"))?;
+                (TcpListener::from_std(inherited), request_ids)
+            }
+            None => (
+                retry_at_start(|| TcpListener::bind(address)).await,
+                RequestIds::local(request_id_bytes),
+            ),
         };
         Ok(Self {
             listener: listener.map_err(system_error(LISTEN_FOR_CLIENT_CONNECTIONS))?,
             is_shared,
+            request_ids: Rc::new(request_ids),
         })
     }
 }
