--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -271,6 +271,8 @@
     thread::sleep(Duration::from_millis(random.u64(1..40)));
     let message = match random.usize(0..3) {
         0 => response("200 OK", "", &body),
+        // Ends with its connection, whether it says so or not.
+        1 if number % 2 == 0 => format!("HTTP/1.1 200 OK\r\n\r\n{body}").into_bytes(),
         1 => format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{body}").into_bytes(),
         _ => format!(
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
@@ -622,7 +624,11 @@
             pick(&mut random, &["draining", "gone"]),
         ),
     ];
-    watch.send(&format!("{}\n", endpoint_list(2, false, &changes)));
+    let list = endpoint_list(2, false, &changes);
+    watch.send(&match seed % 2 {
+        0 => format!("{list}\n"),
+        _ => format!("{}\n", list.replace(',', ",\r\n\t ")),
+    });
     *lock(&run.gone) = Some((gone, Instant::now()));
     for _ in 0..random.usize(0..4) {
         node.reload(&text);
