--- a/crates/request-ids/src/bucket.rs
+++ b/crates/request-ids/src/bucket.rs
@@ -2,12 +2,12 @@
 
 use std::ops::Range;
 
-use crate::entry::{Entry, Standing, State, ENTRY_BYTES};
+use crate::entry::{Entry, EntryStatus, State, ENTRY_BYTES};
 use crate::{IdHash, OwnerId, RepeatPolicy, RequestEnd, ReserveError};
 
 /// Size of a bucket: a page, so that it is read with one call.
 pub const BUCKET_BYTES: usize = 4096;
-/// Number of ids that a bucket has room for.
+/// Maximum number of ids in a bucket.
 pub const BUCKET_SLOTS: usize = BUCKET_BYTES / ENTRY_BYTES;
 
 /// The place of an entry in its bucket.
@@ -40,12 +40,12 @@
 
     /// Reserves an id for a request of the process `owner`.
     ///
-    /// `is_running` tells whether another process still runs. It is called for an entry of the same id, and for others only if
-    /// there is no free slot.
+    /// `is_running` tells whether another process still runs. It is called for an entry of the same id, and for other entries
+    /// only if all slots are in use.
     ///
     /// # Errors
     ///
-    /// The id is open or kept, or there is no slot for it.
+    /// The id is open or retained, or all slots are in use.
     pub fn reserve(
         &mut self,
         id: IdHash,
@@ -56,7 +56,7 @@
     ) -> Result<SlotIndex, ReserveError> {
         let slot = match self.find(id) {
             Some((slot, existing)) => {
-                self.replace_expired(slot, existing, now_ms, &is_running)?;
+                self.check_expired(slot, existing, now_ms, &is_running)?;
                 slot
             }
             None => self
@@ -82,30 +82,30 @@
             slot,
             match end {
                 RequestEnd::Released => None,
-                RequestEnd::MayHaveRun => Some(entry.kept_since(now_ms)),
+                RequestEnd::MayHaveRun => Some(entry.retained_since(now_ms)),
             },
         );
     }
 
-    /// Checks that the entry of an id that is reserved again has expired.
-    fn replace_expired(
+    /// Checks that the existing entry of an id has expired. Retains the id if its process ended with the request open.
+    fn check_expired(
         &mut self,
         slot: SlotIndex,
         existing: Entry,
         now_ms: u64,
         is_running: &impl Fn(OwnerId) -> bool,
     ) -> Result<(), ReserveError> {
-        match existing.standing(now_ms, is_running) {
-            Standing::Expired => Ok(()),
-            Standing::InUse => Err(ReserveError::InUse),
-            Standing::Orphaned => {
-                self.set(slot, Some(existing.kept_since(now_ms)));
+        match existing.status(now_ms, is_running) {
+            EntryStatus::Expired => Ok(()),
+            EntryStatus::InUse => Err(ReserveError::InUse),
+            EntryStatus::Orphaned => {
+                self.set(slot, Some(existing.retained_since(now_ms)));
                 Err(ReserveError::InUse)
             }
         }
     }
 
-    /// A slot that is free, or whose id was kept for long enough.
+    /// Returns a slot that is free, or whose id has been retained for long enough.
     fn free_slot(&self, now_ms: u64) -> Option<SlotIndex> {
         slots().find(|slot| {
             self.get(*slot)
@@ -113,7 +113,8 @@
         })
     }
 
-    /// A slot of a process that has ended without releasing it. The ids of its other requests are kept from now on.
+    /// Returns a slot of a repeatable request whose process ended with it open. Other ids of ended processes are retained from
+    /// now on.
     fn reclaim_slot(
         &mut self,
         now_ms: u64,
@@ -124,10 +125,10 @@
             let Some(entry) = self.get(slot) else {
                 continue;
             };
-            match entry.standing(now_ms, is_running) {
-                Standing::InUse => {}
-                Standing::Orphaned => self.set(slot, Some(entry.kept_since(now_ms))),
-                Standing::Expired => reclaimed = Some(slot),
+            match entry.status(now_ms, is_running) {
+                EntryStatus::InUse => {}
+                EntryStatus::Orphaned => self.set(slot, Some(entry.retained_since(now_ms))),
+                EntryStatus::Expired => reclaimed = Some(slot),
             }
         }
         reclaimed
--- a/crates/request-ids/src/entry.rs
+++ b/crates/request-ids/src/entry.rs
@@ -1,8 +1,8 @@
-//! What a table knows of an id.
+//! The record of an id in a shared table, and its encoding.
 
 use crate::IdHash;
 
-/// Time for which the id of a request that may have run is kept after its end, in milliseconds.
+/// Time for which the id of a request that may have run is retained after its end, in milliseconds.
 pub const RETENTION_MS: u64 = 60_000;
 
 /// Size of an entry in a bucket.
@@ -13,7 +13,7 @@
 const KIND_MASK: u64 = (1 << KIND_BITS) - 1;
 const KIND_OPEN_REPEATABLE: u64 = 0;
 const KIND_OPEN: u64 = 1;
-const KIND_KEPT: u64 = 2;
+const KIND_RETAINED: u64 = 2;
 
 /// Whether a request may run again after it may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,7 +24,7 @@
     RunOnce,
 }
 
-/// The number of a process among those that have shared a table.
+/// Number of a process that uses, or has used, a shared table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnerId(pub u16);
 
@@ -37,15 +37,15 @@
         policy: RepeatPolicy,
     },
     /// Its request has ended, may have run and must not run again.
-    Kept,
+    Retained,
 }
 
-/// What an entry means for its id now.
+/// The effect of an entry at a point in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Standing {
+pub(crate) enum EntryStatus {
     /// The id is rejected.
     InUse,
-    /// The id is rejected. It was open at a process that has ended, so the entry becomes [`State::Kept`].
+    /// The id is rejected. It was open at a process that has ended, so the entry becomes [`State::Retained`].
     Orphaned,
     /// The entry has no effect any more.
     Expired,
@@ -61,32 +61,32 @@
 }
 
 impl Entry {
-    /// Returns what the entry means at `now_ms`. `is_running` tells whether a process is still running.
-    pub(crate) fn standing(
+    /// Returns the status of the entry at `now_ms`. `is_running` tells whether a process is still running.
+    pub(crate) fn status(
         &self,
         now_ms: u64,
         is_running: impl FnOnce(OwnerId) -> bool,
-    ) -> Standing {
+    ) -> EntryStatus {
         match self.state {
-            State::Kept if self.is_past_retention(now_ms) => Standing::Expired,
-            State::Kept => Standing::InUse,
+            State::Retained if self.is_past_retention(now_ms) => EntryStatus::Expired,
+            State::Retained => EntryStatus::InUse,
             State::Open { owner, policy } => match policy {
-                _ if is_running(owner) => Standing::InUse,
-                RepeatPolicy::RunOnce => Standing::Orphaned,
-                RepeatPolicy::Repeatable => Standing::Expired,
+                _ if is_running(owner) => EntryStatus::InUse,
+                RepeatPolicy::RunOnce => EntryStatus::Orphaned,
+                RepeatPolicy::Repeatable => EntryStatus::Expired,
             },
         }
     }
 
-    /// Whether the entry is of a kept id whose time is over.
+    /// Whether the id was retained for [`RETENTION_MS`].
     pub(crate) fn is_past_retention(&self, now_ms: u64) -> bool {
-        self.state == State::Kept && now_ms.saturating_sub(self.since_ms) >= RETENTION_MS
+        self.state == State::Retained && now_ms.saturating_sub(self.since_ms) >= RETENTION_MS
     }
 
-    /// The same id, kept from `now_ms` on.
-    pub(crate) fn kept_since(self, now_ms: u64) -> Self {
+    /// Returns an entry that retains the id from `now_ms` on.
+    pub(crate) fn retained_since(self, now_ms: u64) -> Self {
         Self {
-            state: State::Kept,
+            state: State::Retained,
             since_ms: now_ms,
             ..self
         }
@@ -98,7 +98,7 @@
                 RepeatPolicy::Repeatable => (KIND_OPEN_REPEATABLE, owner.0),
                 RepeatPolicy::RunOnce => (KIND_OPEN, owner.0),
             },
-            State::Kept => (KIND_KEPT, 0),
+            State::Retained => (KIND_RETAINED, 0),
         };
         let state =
             self.since_ms << (KIND_BITS + OWNER_BITS) | u64::from(owner) << KIND_BITS | kind;
@@ -108,7 +108,7 @@
         bytes
     }
 
-    /// Decodes an entry; `None` for a free slot. An unknown state counts as kept.
+    /// Decodes an entry; `None` for a free slot. An unknown state counts as retained.
     pub(crate) fn decode(bytes: &[u8; ENTRY_BYTES]) -> Option<Self> {
         let value = u128::from_le_bytes(*bytes);
         let id = IdHash::from_value(value as u64)?;
@@ -120,7 +120,7 @@
             state: match state & KIND_MASK {
                 KIND_OPEN_REPEATABLE => open(RepeatPolicy::Repeatable),
                 KIND_OPEN => open(RepeatPolicy::RunOnce),
-                _ => State::Kept,
+                _ => State::Retained,
             },
             since_ms: state >> (KIND_BITS + OWNER_BITS),
         })
--- a/crates/request-ids/src/layout.rs
+++ b/crates/request-ids/src/layout.rs
@@ -1,10 +1,10 @@
-//! The layout of a shared table: a header, and buckets behind it.
+//! The layout of a shared table: a header, followed by buckets.
 
 use std::fmt;
 
 use crate::{HashKey, IdHash, OwnerId, BUCKET_BYTES};
 
-/// Size of the header. The buckets begin behind it.
+/// Size of the header, and offset of the first bucket.
 pub const HEADER_BYTES: usize = BUCKET_BYTES;
 
 const MAGIC: &[u8; 8] = b"reqids\0\0";
@@ -12,21 +12,21 @@
 const VERSION: u64 = 1;
 /// Maximum number of buckets that a process accepts in the header of a table that another one has created.
 const MAX_BUCKETS: u64 = 1 << 20;
-/// Offset of the locks of processes, behind each possible bucket.
+/// Offset of the first byte that a process locks: larger than the offset of any bucket.
 const OWNER_LOCKS_OFFSET: u64 = 1 << 40;
 
 const MAGIC_AT: usize = 0;
 const VERSION_AT: usize = 8;
-const BUCKETS_AT: usize = 16;
+const BUCKET_COUNT_AT: usize = 16;
 const KEY_AT: usize = 24;
 const NEXT_OWNER_AT: usize = 40;
 
 /// Error in the header of a table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeaderError {
-    /// It is no header, or one that has not been written yet.
+    /// The file does not begin with a header.
     NotATable,
-    /// It has a layout that this program does not know.
+    /// The layout has a version that this program does not know.
     UnknownVersion(u64),
     /// The number of buckets is out of range.
     InvalidLength,
@@ -46,32 +46,32 @@
 
 impl std::error::Error for HeaderError {}
 
-/// Where the parts of a table are.
+/// Positions of the parts of a table in its file.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Layout {
-    buckets: u64,
+    bucket_count: u64,
 }
 
 impl Layout {
-    /// The largest table in this number of bytes, with one bucket at the least.
+    /// The largest table in this number of bytes, with at least one bucket.
     #[must_use]
     pub fn within(bytes: usize) -> Self {
         let buckets = (bytes.saturating_sub(HEADER_BYTES) / BUCKET_BYTES) as u64;
         Self {
-            buckets: buckets.clamp(1, MAX_BUCKETS),
+            bucket_count: buckets.clamp(1, MAX_BUCKETS),
         }
     }
 
     /// Length of the file, in bytes.
     #[must_use]
     pub fn file_bytes(self) -> u64 {
-        HEADER_BYTES as u64 + self.buckets * BUCKET_BYTES as u64
+        HEADER_BYTES as u64 + self.bucket_count * BUCKET_BYTES as u64
     }
 
     /// Offset of the bucket of an id. The byte at this offset is locked for an access to the bucket.
     #[must_use]
     pub fn bucket_offset(self, id: IdHash) -> u64 {
-        HEADER_BYTES as u64 + id.value() % self.buckets * BUCKET_BYTES as u64
+        HEADER_BYTES as u64 + id.value() % self.bucket_count * BUCKET_BYTES as u64
     }
 
     /// Offset of the byte that a process locks for as long as it runs.
@@ -84,7 +84,7 @@
 /// The header of a table. Its first byte is locked for an access to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Header {
-    /// Where the parts of the table are.
+    /// Positions of the parts of the table.
     pub layout: Layout,
     /// The key of the hashes.
     pub key: HashKey,
@@ -118,7 +118,7 @@
         let [first, second] = self.key.0;
         for (at, value) in [
             (VERSION_AT, VERSION),
-            (BUCKETS_AT, self.layout.buckets),
+            (BUCKET_COUNT_AT, self.layout.bucket_count),
             (KEY_AT, first),
             (KEY_AT + 8, second),
             (NEXT_OWNER_AT, u64::from(self.next_owner.0)),
@@ -147,9 +147,9 @@
             return Err(HeaderError::UnknownVersion(value(VERSION_AT)));
         }
         let layout = Layout {
-            buckets: value(BUCKETS_AT),
+            bucket_count: value(BUCKET_COUNT_AT),
         };
-        let is_in_range = (1..=MAX_BUCKETS).contains(&layout.buckets);
+        let is_in_range = (1..=MAX_BUCKETS).contains(&layout.bucket_count);
         if !is_in_range || layout.file_bytes() != file_bytes {
             return Err(HeaderError::InvalidLength);
         }
--- a/crates/request-ids/src/lib.rs
+++ b/crates/request-ids/src/lib.rs
@@ -1,12 +1,12 @@
 //! The ids of requests that must not run again: state machines without I/O, to which the time is passed.
 //!
-//! An id is *open* while its request is. It is *kept* for [`RETENTION_MS`] after a request that may have run and must not be
-//! repeated, and whose client did not get a server's response. An open or kept id is rejected. A table without room for another
-//! id refuses it; it never forgets one.
+//! An id is *open* while its request is. It is *retained* for [`RETENTION_MS`] after a request that may have run and must not be
+//! repeated, and whose client did not get a server's response. An open or retained id is rejected. A full table
+//! refuses further ids and never drops one before its time.
 //!
 //! [`LocalTable`] serves a process that accepts its clients alone. Where several processes accept from one socket, they share a
 //! file of [`Bucket`]s, which [`Layout`] and [`Header`] describe; each process reads and writes a bucket while it holds the
-//! bucket's lock. An id that was open at a process that has ended counts as kept if its request must not be repeated.
+//! bucket's lock. An id that was open at a process that has ended is retained if its request must not be repeated.
 
 mod bucket;
 mod entry;
@@ -25,9 +25,9 @@
 /// Reason for which an id is not reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReserveError {
-    /// The id is open or kept.
+    /// The id is open or retained.
     InUse,
-    /// The table has no room for it.
+    /// The table is full.
     Full,
 }
 
--- a/crates/request-ids/src/local.rs
+++ b/crates/request-ids/src/local.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Open,
-    Kept,
+    Retained,
 }
 
 /// The ids of a process, up to a maximum number.
@@ -17,28 +17,28 @@
 pub struct LocalTable {
     max_ids: usize,
     ids: HashMap<IdHash, State>,
-    /// The kept ids and when each was, in milliseconds; the oldest first.
-    kept: VecDeque<(u64, IdHash)>,
+    /// The retained ids and the time in milliseconds since which each is; the oldest first.
+    retained: VecDeque<(u64, IdHash)>,
 }
 
 impl LocalTable {
-    /// An empty table with room for this number of ids.
+    /// Creates an empty table of at most this number of ids.
     #[must_use]
     pub fn new(max_ids: usize) -> Self {
         Self {
             max_ids,
             ids: HashMap::new(),
-            kept: VecDeque::new(),
+            retained: VecDeque::new(),
         }
     }
 
-    /// Number of open and kept ids.
+    /// Number of open and retained ids.
     #[must_use]
     pub fn len(&self) -> usize {
         self.ids.len()
     }
 
-    /// Whether no id is open or kept.
+    /// Whether no id is open or retained.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.ids.is_empty()
@@ -48,7 +48,7 @@
     ///
     /// # Errors
     ///
-    /// The id is open or kept, or there is no room for it.
+    /// The id is open or retained, or the table is full.
     pub fn reserve(&mut self, id: IdHash, now_ms: u64) -> Result<(), ReserveError> {
         self.remove_expired(now_ms);
         let is_full = self.ids.len() >= self.max_ids;
@@ -67,7 +67,7 @@
         let MapEntry::Occupied(mut entry) = self.ids.entry(id) else {
             return;
         };
-        if *entry.get() == State::Kept {
+        if *entry.get() == State::Retained {
             return;
         }
         match end {
@@ -75,18 +75,18 @@
                 entry.remove();
             }
             RequestEnd::MayHaveRun => {
-                entry.insert(State::Kept);
-                self.kept.push_back((now_ms, id));
+                entry.insert(State::Retained);
+                self.retained.push_back((now_ms, id));
             }
         }
     }
 
     fn remove_expired(&mut self, now_ms: u64) {
-        while let Some((since_ms, id)) = self.kept.front().copied() {
+        while let Some((since_ms, id)) = self.retained.front().copied() {
             if now_ms.saturating_sub(since_ms) < RETENTION_MS {
                 return;
             }
-            self.kept.pop_front();
+            self.retained.pop_front();
             self.ids.remove(&id);
         }
     }
--- a/crates/request-ids/tests/local.rs
+++ b/crates/request-ids/tests/local.rs
@@ -6,7 +6,7 @@
 const CAPACITY: usize = 100;
 
 #[test]
-fn kept_id_is_rejected_for_the_whole_retention_time_and_no_longer() {
+fn retained_id_is_rejected_exactly_for_the_retention_time() {
     let mut table = LocalTable::new(CAPACITY);
     let id = KEY.hash(b"a");
     table.reserve(id, 0).expect("the id is new");
@@ -22,15 +22,17 @@
     assert!(table.is_empty());
 }
 
-/// Guards against dropping kept ids to make room for others.
+/// Guards against dropping retained ids in favor of new ones.
 #[test]
-fn full_table_refuses_new_ids_until_kept_ones_expire() {
+fn full_table_refuses_new_ids_until_retained_ones_expire() {
     let mut table = LocalTable::new(CAPACITY);
     let ids: Vec<_> = (0..=CAPACITY)
         .map(|number| KEY.hash(number.to_string().as_bytes()))
         .collect();
     for (number, id) in ids[..CAPACITY].iter().enumerate() {
-        table.reserve(*id, number as u64).expect("there is room");
+        table
+            .reserve(*id, number as u64)
+            .expect("the table is not full");
         table.end(*id, RequestEnd::MayHaveRun, number as u64);
     }
     let newcomer = ids[CAPACITY];
--- a/crates/request-ids/tests/shared.rs
+++ b/crates/request-ids/tests/shared.rs
@@ -39,7 +39,7 @@
 }
 
 #[test]
-fn id_that_was_open_at_a_process_that_ended_is_kept() {
+fn id_that_was_open_at_a_process_that_ended_is_retained() {
     let mut bucket = empty_bucket();
     run_once(&mut bucket, id(1), 0, 0, &[0]).expect("the id is new");
     let noticed_at_ms = 1_000_000;
@@ -66,12 +66,12 @@
     assert!(reserve(&mut bucket, 1, false).is_ok());
 }
 
-/// Guards against dropping kept ids to make room for others.
+/// Guards against dropping retained ids in favor of new ones.
 #[test]
-fn full_bucket_refuses_new_ids_until_kept_ones_expire() {
+fn full_bucket_refuses_new_ids_until_retained_ones_expire() {
     let mut bucket = empty_bucket();
     for number in 0..BUCKET_SLOTS {
-        let slot = run_once(&mut bucket, id(number), 0, 0, &[0]).expect("there is room");
+        let slot = run_once(&mut bucket, id(number), 0, 0, &[0]).expect("the bucket is not full");
         bucket.end(slot, id(number), RequestEnd::MayHaveRun, 0);
     }
     let newcomer = id(BUCKET_SLOTS);
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn slots_of_repeatable_requests_of_a_process_that_ended_are_used_again() {
+fn slot_of_a_repeatable_request_of_an_ended_process_is_reused() {
     let mut bucket = empty_bucket();
     for number in 0..BUCKET_SLOTS {
         let policy = if number == 7 {
@@ -95,7 +95,7 @@
         };
         bucket
             .reserve(id(number), OwnerId(0), policy, 0, |_| true)
-            .expect("there is room");
+            .expect("the bucket is not full");
     }
     let newcomer = id(BUCKET_SLOTS);
     let reserved = run_once(&mut bucket, newcomer, 1, 1, &[0, 1]);
@@ -177,7 +177,7 @@
     }
 }
 
-/// What a sequence of events has made of an id, by the rules alone.
+/// Expected state of an id after a sequence of events.
 #[derive(Clone, Copy, Debug, Default)]
 struct Expected {
     /// The process at which it is open, and whether it may run only once.
@@ -186,7 +186,7 @@
     free_at_ms: u64,
 }
 
-/// Processes that use a bucket, and what they are expected to see.
+/// Processes that use a bucket, and the expected state of each id.
 struct Trial {
     bucket: Bucket,
     random: fastrand::Rng,
@@ -233,7 +233,7 @@
             .bucket
             .reserve(id, OwnerId(process), policy, self.now_ms, is_running);
         let expected = self.expected.entry(id.value()).or_default();
-        // The first process that finds an id open at one that has ended keeps it from then on.
+        // The first process that finds an id open at one that has ended retains it from then on.
         if let Some((owner, policy)) = expected.open.filter(|(owner, _)| !running.contains(owner)) {
             assert!(!running.contains(&owner));
             if policy == RepeatPolicy::RunOnce {
@@ -277,7 +277,7 @@
 /// Guards against an id that is reserved while another process has it open, or within a minute after its request may have run,
 /// and against one that is rejected without such a reason.
 #[test]
-fn processes_that_are_replaced_agree_on_which_ids_are_in_use() {
+fn bucket_agrees_with_its_model_while_processes_are_replaced() {
     for seed in 0..SEQUENCES {
         let mut trial = Trial::new(seed);
         for _ in 0..STEPS {
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -18,6 +18,17 @@
     )
 }
 
+/// JSON of the complete endpoint list of generation 1, with the ready servers `s-0`, `s-1` and so on at these addresses.
+#[must_use]
+pub fn ready_servers(addresses: impl IntoIterator<Item = SocketAddr>) -> String {
+    let entries: Vec<_> = addresses
+        .into_iter()
+        .enumerate()
+        .map(|(number, address)| endpoint_entry(&format!("s-{number}"), address, "ready"))
+        .collect();
+    endpoint_list(1, true, &entries)
+}
+
 /// JSON of an endpoint list: the complete list if `reset` is true, otherwise only the changed entries.
 #[must_use]
 pub fn endpoint_list(generation: u64, reset: bool, entries: &[String]) -> String {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -36,10 +36,11 @@
 mod process_memory;
 mod register;
 mod relay;
+mod seeds;
 mod server;
 mod socket;
 
-pub use discovery::{endpoint_entry, endpoint_list, Discovery, Watch};
+pub use discovery::{endpoint_entry, endpoint_list, ready_servers, Discovery, Watch};
 pub use fleet::{Fleet, Member, Members};
 pub use load::{Load, Totals};
 pub use message::{post_request, read_request, response, Message};
@@ -49,6 +50,7 @@
 };
 pub use process_memory::{process_memory_kib, MemoryKind};
 pub use register::{Effect, Register};
+pub use seeds::run_seeds;
 pub use server::{Reply, Server, Unreachable};
 pub use simulation::{Burst, Fault, FaultSchedule, Link, ScheduleLimits};
 pub use socket::{AddressFamily, Endpoint, Listener, Stream};
--- a/src/node/discovery/endpoint_list/json_objects.rs
+++ b/src/node/discovery/endpoint_list/json_objects.rs
@@ -1,6 +1,6 @@
-//! Splits a watch's byte stream into JSON objects, wherever the stream is cut and however the objects are laid out.
+//! Splits the byte stream of a watch into JSON objects, at any boundaries of the received pieces and with any white space.
 //!
-//! Owns the beginning of the current object. Objects are only delimited here; their decoder validates them.
+//! Owns the incomplete object at the end of the stream. Objects are only delimited here; the caller decodes and validates them.
 
 use std::fmt;
 
--- a/src/node/discovery/endpoint_list/json_objects/tests.rs
+++ b/src/node/discovery/endpoint_list/json_objects/tests.rs
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn stream_that_is_no_sequence_of_objects_is_rejected_at_the_first_wrong_byte() {
+fn stream_is_rejected_at_the_first_byte_that_belongs_to_no_object() {
     for (text, error) in [
         ("[]", JsonObjectsError::NotAnObject),
         ("null", JsonObjectsError::NotAnObject),
--- a/src/node/discovery/endpoint_list/watch.rs
+++ b/src/node/discovery/endpoint_list/watch.rs
@@ -52,7 +52,7 @@
     /// A list of changes has a lower generation than the current list: discovery has restarted, and
     /// the changes do not apply to the current list.
     GenerationDecreased,
-    /// What was received is not a sequence of JSON objects of limited length.
+    /// The stream is not a sequence of JSON objects, or one of them is too long.
     Undelimited(JsonObjectsError),
 }
 
--- a/src/node/downstream/request_ids.rs
+++ b/src/node/downstream/request_ids.rs
@@ -11,6 +11,7 @@
 mod socket_users;
 
 use std::cell::{Cell, RefCell};
+use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -25,7 +26,7 @@
 
 /// Memory that an id takes in the table of a process, in bytes: its hash table and queue just after they have grown.
 const BYTES_PER_ID: usize = 64;
-/// Number of ids that a table has room for unless the configuration says otherwise.
+/// Maximum number of ids unless the configuration determines another one.
 const DEFAULT_MAX_IDS: usize = 8_192;
 /// Time for which a request waits while another process uses its part of the shared table. A process does so for some
 /// microseconds, unless it is stopped just then.
@@ -38,7 +39,7 @@
 pub enum RejectedId {
     /// A request with this id is open, or may have run.
     InUse,
-    /// It must not run twice, and there is no room to remember it.
+    /// It must not run twice, and the table is full.
     TableFull,
     /// It must not run twice, and another process of this node may know its id and cannot be asked.
     Unavailable,
@@ -57,11 +58,11 @@
     Shared(SharedTable),
 }
 
-/// Where the id of an open request is recorded.
+/// The table in which the id of an open request is recorded.
 #[derive(Clone, Copy, Debug)]
-enum Record {
-    /// Nowhere: the request may be repeated, and the table was full or not available.
-    None,
+enum Tracking {
+    /// In no table: the request may be repeated, and the table was full or not available.
+    Untracked,
     Local,
     Shared(SlotIndex),
 }
@@ -100,11 +101,11 @@
         })
     }
 
-    /// Watches for processes that accept connections from the same socket and do not share their ids; see
-    /// [`RejectedId::Unavailable`]. Returns once there is none, and at once if the table is not shared.
-    pub async fn watch_other_processes(&self) {
+    /// Waits until each process of an earlier version, which accepts connections from the same socket and does not share its
+    /// ids, has ended; see [`RejectedId::Unavailable`]. Returns at once if the table is not shared. Cancel safe.
+    pub async fn wait_for_legacy_processes(&self) {
         if let Table::Shared(table) = &self.table {
-            table.wait_for_unaware_processes().await;
+            table.wait_for_legacy_processes().await;
         }
     }
 
@@ -120,14 +121,16 @@
     ) -> Result<Rc<OpenRequestId>, RejectedId> {
         let id = self.key.hash(id.as_bytes());
         let is_repeatable = policy == RepeatPolicy::Repeatable;
-        let record = match self.reserve_in_table(id, policy).await {
-            Err(RejectedId::TableFull | RejectedId::Unavailable) if is_repeatable => Record::None,
+        let tracking = match self.reserve_in_table(id, policy).await {
+            Err(RejectedId::TableFull | RejectedId::Unavailable) if is_repeatable => {
+                Tracking::Untracked
+            }
             result => result?,
         };
         Ok(Rc::new(OpenRequestId {
             ids: Rc::clone(self),
             id,
-            record,
+            tracking,
             may_have_run: Cell::default(),
             is_served: Cell::default(),
             is_written: Cell::default(),
@@ -138,30 +141,30 @@
         &self,
         id: IdHash,
         policy: RepeatPolicy,
-    ) -> Result<Record, RejectedId> {
+    ) -> Result<Tracking, RejectedId> {
         match &self.table {
             Table::Local(table) => table
                 .borrow_mut()
                 .reserve(id, monotonic_ms())
-                .map(|()| Record::Local)
+                .map(|()| Tracking::Local)
                 .map_err(RejectedId::from),
             Table::Shared(table) => {
                 let slot = reserve_shared(table, id, policy).await?;
-                if policy == RepeatPolicy::RunOnce && table.has_unaware_processes() {
+                if policy == RepeatPolicy::RunOnce && table.has_legacy_processes() {
                     table.end(id, slot, RequestEnd::Released, monotonic_ms());
                     return Err(RejectedId::Unavailable);
                 }
-                Ok(Record::Shared(slot))
+                Ok(Tracking::Shared(slot))
             }
         }
     }
 
-    fn end(&self, id: IdHash, record: Record, end: RequestEnd) {
-        match (&self.table, record) {
-            (Table::Local(table), Record::Local) => {
+    fn end(&self, id: IdHash, tracking: Tracking, end: RequestEnd) {
+        match (&self.table, tracking) {
+            (Table::Local(table), Tracking::Local) => {
                 table.borrow_mut().end(id, end, monotonic_ms());
             }
-            (Table::Shared(table), Record::Shared(slot)) => {
+            (Table::Shared(table), Tracking::Shared(slot)) => {
                 table.end(id, slot, end, monotonic_ms());
             }
             _ => {}
@@ -206,7 +209,6 @@
 }
 
 fn random_key() -> [u64; 2] {
-    use std::hash::{BuildHasher, RandomState};
     [0, 1].map(|number: u8| RandomState::new().hash_one(number))
 }
 
@@ -215,7 +217,7 @@
 pub struct OpenRequestId {
     ids: Rc<RequestIds>,
     id: IdHash,
-    record: Record,
+    tracking: Tracking,
     /// Whether the request may have run, and is not idempotent.
     may_have_run: Cell<bool>,
     is_served: Cell<bool>,
@@ -253,7 +255,7 @@
         } else {
             RequestEnd::Released
         };
-        self.ids.end(self.id, self.record, end);
+        self.ids.end(self.id, self.tracking, end);
     }
 }
 
--- a/src/node/downstream/request_ids/range_lock.rs
+++ b/src/node/downstream/request_ids/range_lock.rs
@@ -48,8 +48,8 @@
     Ok(lock.l_type != libc::F_UNLCK as libc::c_short)
 }
 
-/// A lock on a whole file that this process holds against other processes, until it is dropped. It also ends when the process
-/// closes any descriptor of the file.
+/// A lock on an entire file, held by this process until it is dropped or the process closes any descriptor of the file. Another
+/// process conflicts with it.
 #[derive(Debug)]
 pub(super) struct ProcessLock<'a> {
     file: BorrowedFd<'a>,
@@ -58,7 +58,7 @@
 impl<'a> ProcessLock<'a> {
     /// Locks the file; `None` if another process has locked it.
     pub(super) fn try_acquire(file: BorrowedFd<'a>) -> io::Result<Option<Self>> {
-        let lock = whole_file(libc::F_WRLCK);
+        let lock = entire_file(libc::F_WRLCK);
         match fcntl(file, FcntlArg::F_SETLK(&lock)) {
             Ok(_) => Ok(Some(Self { file })),
             Err(Errno::EAGAIN | Errno::EACCES) => Ok(None),
@@ -70,7 +70,7 @@
 impl Drop for ProcessLock<'_> {
     fn drop(&mut self) {
         // Unlocking an open file does not fail.
-        let _ = fcntl(self.file, FcntlArg::F_SETLK(&whole_file(libc::F_UNLCK)));
+        let _ = fcntl(self.file, FcntlArg::F_SETLK(&entire_file(libc::F_UNLCK)));
     }
 }
 
@@ -84,7 +84,7 @@
     }
 }
 
-fn whole_file(lock_type: libc::c_int) -> libc::flock {
+fn entire_file(lock_type: libc::c_int) -> libc::flock {
     libc::flock {
         l_len: 0,
         ..byte_range(lock_type, 0)
--- a/src/node/downstream/request_ids/shared_table.rs
+++ b/src/node/downstream/request_ids/shared_table.rs
@@ -1,7 +1,7 @@
 //! The table of request ids that the processes of a node share while they accept connections from one listening socket: a file in
-//! memory, which lives as long as one of them has it open.
+//! memory, which exists as long as one of them has it open.
 //!
-//! Owns the open file and this process's number in it. A process that starts finds the table through the processes that have the
+//! Owns the open file, and the number of this process in it. A process that starts finds the table through the processes that have the
 //! socket open, whether or not they respond. Each access to a bucket holds the bucket's lock; the kernel releases the locks of a
 //! process that ends.
 
@@ -28,12 +28,12 @@
 
 /// Offset of the byte that is locked for an access to the header.
 const HEADER_LOCK_OFFSET: u64 = 0;
-/// Time for which a process that starts waits for another one that is starting, too.
-const START_LOCK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time for which a process that starts waits for others that are starting.
+const START_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause between two attempts to get a lock at the start.
-const START_RETRY_INTERVAL: Duration = Duration::from_millis(5);
-/// Time between two checks for the end of a process that does not share its ids.
-const UNAWARE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const START_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Time between two checks whether a process of an earlier version has ended.
+const LEGACY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Error of an access to the shared table.
 #[derive(Debug)]
@@ -61,7 +61,7 @@
 
 /// The end of a request that could not be recorded yet.
 #[derive(Clone, Copy, Debug)]
-struct UnrecordedEnd {
+struct PendingEnd {
     id: IdHash,
     slot: SlotIndex,
     end: RequestEnd,
@@ -76,11 +76,11 @@
     layout: Layout,
     key: HashKey,
     owner: OwnerId,
-    /// Ends of requests that wait for the lock of their bucket: as many as requests were open when the lock was taken, since no id
-    /// is reserved there meanwhile. Until then the ids count as open.
-    unrecorded_ends: RefCell<Vec<UnrecordedEnd>>,
-    /// Other processes that accept connections from the socket and do not share the table.
-    unaware_processes: RefCell<Vec<u32>>,
+    /// Ends of requests that wait for the lock of their bucket. Their number is bounded by the requests that were open when another
+    /// process took the lock: no id is reserved in a locked bucket. The ids stay open until their ends are recorded.
+    pending_ends: RefCell<Vec<PendingEnd>>,
+    /// Ids of other processes that accept connections from the socket and do not share the table: those of earlier versions.
+    legacy_processes: RefCell<Vec<u32>>,
     has_logged_failure: Cell<bool>,
 }
 
@@ -104,8 +104,8 @@
             Some(file) => file,
             None => create(&socket_users.table_name(), Layout::within(max_bytes), key)?,
         };
-        let unaware = users.iter().filter(|user| !shares_table(user, &file));
-        let unaware: Vec<_> = unaware.map(|user| user.process_id).collect();
+        let legacy = users.iter().filter(|user| !shares_table(user, &file));
+        let legacy: Vec<_> = legacy.map(|user| user.process_id).collect();
         let header = register_owner(&file).await?;
         drop(start_lock);
         let table = Self {
@@ -114,27 +114,27 @@
             owner: header.next_owner,
             file,
             socket_users,
-            unrecorded_ends: RefCell::default(),
-            unaware_processes: RefCell::new(unaware),
+            pending_ends: RefCell::default(),
+            legacy_processes: RefCell::new(legacy),
             has_logged_failure: Cell::default(),
         };
         table.wait_for_starting_processes().await;
         Ok(table)
     }
 
-    /// Waits for a moment until processes that do not share the table do: they may be starting.
+    /// Waits up to [`START_TIMEOUT`] for processes that do not share the table yet, since they may be starting.
     async fn wait_for_starting_processes(&self) {
-        let give_up_at = Instant::now() + START_LOCK_TIMEOUT;
-        while self.has_unaware_processes() && Instant::now() < give_up_at {
+        let give_up_at = Instant::now() + START_TIMEOUT;
+        while self.has_legacy_processes() && Instant::now() < give_up_at {
             tokio::time::sleep(START_RETRY_INTERVAL).await;
-            self.update_unaware_processes();
+            self.update_legacy_processes();
         }
     }
 
     /// Forgets the processes that have ended or share the table by now.
-    fn update_unaware_processes(&self) {
-        self.unaware_processes.borrow_mut().retain(|process_id| {
-            let user = self.socket_users.look_at(*process_id);
+    fn update_legacy_processes(&self) {
+        self.legacy_processes.borrow_mut().retain(|process_id| {
+            let user = self.socket_users.inspect(*process_id);
             runs_this_program(*process_id) && !shares_table(&user, &self.file)
         });
     }
@@ -144,23 +144,23 @@
         self.key
     }
 
-    /// Whether other processes accept connections from the socket and do not share the table.
-    pub(super) fn has_unaware_processes(&self) -> bool {
-        !self.unaware_processes.borrow().is_empty()
+    /// Whether processes of an earlier version accept connections from the socket.
+    pub(super) fn has_legacy_processes(&self) -> bool {
+        !self.legacy_processes.borrow().is_empty()
     }
 
-    /// Waits until [`Self::has_unaware_processes`] is false.
-    pub(super) async fn wait_for_unaware_processes(&self) {
-        if !self.has_unaware_processes() {
+    /// Waits until [`Self::has_legacy_processes`] returns `false`.
+    pub(super) async fn wait_for_legacy_processes(&self) {
+        if !self.has_legacy_processes() {
             return;
         }
         log::line(format_args!(
             "request ids: processes {:?} accept connections and do not share them; requests that must not run twice are rejected until these have ended",
-            self.unaware_processes.borrow()
+            self.legacy_processes.borrow()
         ));
-        while self.has_unaware_processes() {
-            tokio::time::sleep(UNAWARE_CHECK_INTERVAL).await;
-            self.update_unaware_processes();
+        while self.has_legacy_processes() {
+            tokio::time::sleep(LEGACY_CHECK_INTERVAL).await;
+            self.update_legacy_processes();
         }
         log::line("request ids: all processes that accept connections share them");
     }
@@ -172,7 +172,7 @@
         policy: RepeatPolicy,
         now_ms: u64,
     ) -> Result<Result<SlotIndex, ReserveError>, AccessError> {
-        self.record_ends();
+        self.flush_pending_ends();
         let is_running = |owner| self.is_running(owner);
         self.access(id, |bucket| {
             bucket.reserve(id, self.owner, policy, now_ms, is_running)
@@ -181,13 +181,13 @@
 
     /// Ends a request. If its bucket cannot be accessed, the id stays open until it can.
     pub(super) fn end(&self, id: IdHash, slot: SlotIndex, end: RequestEnd, now_ms: u64) {
-        self.unrecorded_ends.borrow_mut().push(UnrecordedEnd {
+        self.pending_ends.borrow_mut().push(PendingEnd {
             id,
             slot,
             end,
             at_ms: now_ms,
         });
-        self.record_ends();
+        self.flush_pending_ends();
     }
 
     /// Logs the first failure of this process to access the table.
@@ -200,8 +200,8 @@
     }
 
     /// Records the ends of requests, except those whose bucket cannot be accessed.
-    fn record_ends(&self) {
-        self.unrecorded_ends.borrow_mut().retain(|ended| {
+    fn flush_pending_ends(&self) {
+        self.pending_ends.borrow_mut().retain(|ended| {
             let recorded = self.access(ended.id, |bucket| {
                 bucket.end(ended.slot, ended.id, ended.end, ended.at_ms);
             });
@@ -234,7 +234,7 @@
 
 /// Waits until no other process of the node is starting. `None` if that cannot be known in time.
 async fn wait_for_start_lock(listener: &TcpListener) -> Option<ProcessLock<'_>> {
-    let give_up_at = Instant::now() + START_LOCK_TIMEOUT;
+    let give_up_at = Instant::now() + START_TIMEOUT;
     loop {
         match ProcessLock::try_acquire(listener.as_fd()) {
             Ok(Some(lock)) => return Some(lock),
@@ -300,7 +300,7 @@
 
 /// Takes a number for this process, and locks it for as long as the process runs. Returns the header with that number.
 async fn register_owner(file: &File) -> io::Result<Header> {
-    let give_up_at = Instant::now() + START_LOCK_TIMEOUT;
+    let give_up_at = Instant::now() + START_TIMEOUT;
     let _lock = loop {
         match ByteLock::try_acquire(file, HEADER_LOCK_OFFSET)? {
             Some(lock) => break lock,
@@ -312,7 +312,7 @@
     };
     let header = read_header(file)?;
     let mut next = header;
-    // A number whose lock is held is in use by a process that has run since the numbers began anew.
+    // After 65,536 processes the numbers repeat; one whose lock is held belongs to a process that still runs.
     loop {
         let owner = next.take_owner();
         if let Some(lock) = ByteLock::try_acquire(file, Layout::owner_lock_offset(owner))? {
--- a/src/node/downstream/request_ids/socket_users.rs
+++ b/src/node/downstream/request_ids/socket_users.rs
@@ -15,7 +15,7 @@
 use crate::node::downstream::inherited::DESCRIPTOR_VARIABLE;
 
 const PROCESSES: &str = "/proc";
-/// What the system appends to the path of a program whose file has been replaced, and to the name of a file in memory.
+/// Suffix that the kernel appends to the path of a deleted program, and to the name of a file in memory.
 const DELETED_SUFFIX: &str = " (deleted)";
 
 /// Another process of this user that uses the listening socket, or did.
@@ -46,19 +46,19 @@
     }
 
     /// Returns the other processes of this user that have a table for the socket, and those that run this program and accept
-    /// connections from the socket. Processes that end meanwhile are left out.
+    /// connections from the socket. Processes that end during the search are omitted.
     pub(super) fn find(&self) -> io::Result<Vec<SocketUser>> {
         let users = fs::read_dir(PROCESSES)?
             .flatten()
             .filter_map(|entry| entry.file_name().to_str()?.parse().ok())
             .filter(|process_id| *process_id != own_process_id() && is_of_own_user(*process_id))
-            .map(|process_id| self.look_at(process_id))
+            .map(|process_id| self.inspect(process_id))
             .filter(|user| user.table.is_some() || self.accepts_connections(user.process_id));
         Ok(users.collect())
     }
 
-    /// Returns what a process has open now.
-    pub(super) fn look_at(&self, process_id: u32) -> SocketUser {
+    /// Returns the process with its table, if it has one open now.
+    pub(super) fn inspect(&self, process_id: u32) -> SocketUser {
         let link = format!("/memfd:{}{DELETED_SUFFIX}", self.table_name());
         let descriptors = fs::read_dir(process_directory(process_id).join("fd"));
         let mut descriptors = descriptors.into_iter().flatten().flatten();
--- a/src/node/downstream/request_ids/tests.rs
+++ b/src/node/downstream/request_ids/tests.rs
@@ -45,9 +45,9 @@
     }
 }
 
-/// Guards against dropping kept ids to make room for others.
+/// Guards against dropping retained ids in favor of new ones.
 #[tokio::test]
-async fn full_table_refuses_new_ids_and_forgets_none() {
+async fn full_table_refuses_new_ids_and_drops_none() {
     let ids = table();
     for number in 0..CAPACITY {
         let open = reserve(&ids, &number.to_string()).await;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -161,7 +161,7 @@
         );
         start_admin_server(address, server).await?;
     }
-    tokio::task::spawn_local(async move { request_ids.watch_other_processes().await });
+    tokio::task::spawn_local(async move { request_ids.wait_for_legacy_processes().await });
     let schedule = ShutdownSchedule::new(dispatcher.names.max_timeout());
     tokio::select! {
         () = server::serve(listener, Rc::clone(&dispatcher), server_options) => {}
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -80,12 +80,7 @@
 
 fn start_node(servers: &[SocketAddr]) -> (Node, Discovery) {
     let discovery = Discovery::start();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(number, address)| endpoint_entry(&format!("s-{number}"), *address, "ready"))
-        .collect();
-    let endpoints = endpoint_list(1, true, &entries);
+    let endpoints = ready_servers(servers.iter().copied());
     let settings = settings(TIMEOUT.as_millis() as u64);
     (
         Node::start(&config(discovery.address, &endpoints, &settings)),
--- a/tests/long.rs
+++ b/tests/long.rs
@@ -23,16 +23,8 @@
 /// A node with an admin interface and these servers.
 fn start_node(servers: &[&Server]) -> (Node, Discovery) {
     let discovery = Discovery::start();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(i, server)| server.endpoint_entry(&format!("s-{i}"), "ready"))
-        .collect();
-    let text = config(
-        discovery.address,
-        &endpoint_list(1, true, &entries),
-        &settings(60_000),
-    );
+    let endpoints = ready_servers(servers.iter().map(|server| server.address));
+    let text = config(discovery.address, &endpoints, &settings(60_000));
     (
         Node::start(&text.replace("\"listen\"", "\"control\":\"127.0.0.1:0\",\"listen\"")),
         discovery,
@@ -504,10 +496,9 @@
     let discovery = Discovery::start();
     let address = server_that_reads_a_prefix(10_000, b"");
     let entries = [endpoint_entry("s-part", address, "ready")];
-    let endpoints = endpoint_list(1, true, &entries);
     let node = Node::start(&config(
         discovery.address,
-        &endpoints,
+        &endpoint_list(1, true, &entries),
         &settings(TIMEOUT.as_millis() as u64),
     ));
     let address = node.address;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -83,12 +83,7 @@
 
 fn start_node(limits: NodeLimits, servers: &[SocketAddr], settings: &str) -> (Node, Discovery) {
     let discovery = Discovery::start();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(number, address)| endpoint_entry(&format!("s-{number}"), *address, "ready"))
-        .collect();
-    let endpoints = endpoint_list(1, true, &entries);
+    let endpoints = ready_servers(servers.iter().copied());
     let text = config(discovery.address, &endpoints, settings)
         .replace(
             "\"memory_mb\":192",
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -21,16 +21,8 @@
 }
 
 fn config_with_admin_address(discovery: &Discovery, servers: &[&Server]) -> String {
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(index, server)| server.endpoint_entry(&format!("s-{index}"), "ready"))
-        .collect();
-    let text = config(
-        discovery.address,
-        &endpoint_list(1, true, &entries),
-        &settings(60_000),
-    );
+    let endpoints = ready_servers(servers.iter().map(|server| server.address));
+    let text = config(discovery.address, &endpoints, &settings(60_000));
     text.replace("\"listen\"", "\"control\":\"127.0.0.1:0\",\"listen\"")
 }
 
--- a/tests/replacement_ids.rs
+++ b/tests/replacement_ids.rs
@@ -1,5 +1,5 @@
-//! Ids of requests while processes of a node replace one another on one listening socket: an id that is open, or may have run, at
-//! any of them is rejected by all.
+//! Request ids while processes of a node replace one another on one listening socket: each process rejects the ids that are open
+//! or retained at any of them.
 
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
@@ -41,8 +41,7 @@
             })
         });
         let discovery = Discovery::start();
-        let entries = [0, 1].map(|n| servers[n].endpoint_entry(&format!("s-{n}"), "ready"));
-        let list = endpoint_list(1, true, &entries);
+        let list = ready_servers(servers.iter().map(|server| server.address));
         Self {
             servers,
             config: config(discovery.address, &list, &settings(5_000)),
@@ -125,14 +124,14 @@
     response.expect("the request is answered").status()
 }
 
-/// A stand-in for a process of a version that does not share its ids: a program with the node's name that has been passed the
+/// A stand-in for a process of an earlier version, which does not share its ids: a program with the node's name that has been passed the
 /// listening socket. It ends when it is dropped.
-struct OlderProcess {
+struct LegacyProcess {
     child: Child,
     _directory: TempDir,
 }
 
-impl OlderProcess {
+impl LegacyProcess {
     fn start(listener: &TcpListener) -> Self {
         let directory =
             TempDir::new_in(env!("CARGO_TARGET_TMPDIR")).expect("create a temporary directory");
@@ -154,7 +153,7 @@
     }
 }
 
-impl Drop for OlderProcess {
+impl Drop for LegacyProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -213,9 +212,9 @@
     deployment.check_rejected(&fourth, &[], "pay", "left");
 }
 
-/// Guards against a process that finds the ids of another one only while that accepts connections.
+/// Guards against losing the ids of a process that has stopped accepting connections when its successor starts.
 #[test]
-fn id_open_at_a_process_that_accepts_no_more_is_rejected_by_one_that_starts_then() {
+fn id_open_at_a_shutting_down_process_is_rejected_by_its_successor() {
     let deployment = Deployment::new();
     let old = deployment.start_process();
     let open = deployment.open_at(&old, &[], "pay", LONG_REQUEST);
@@ -257,7 +256,7 @@
     }
 }
 
-/// Guards against a second execution of what was open at a process that has been killed, and may still run at its server.
+/// Guards against a second execution of a request that was open at a killed process and may still be running at its server.
 #[test]
 fn id_of_a_killed_process_is_rejected() {
     let deployment = Deployment::new();
@@ -300,18 +299,18 @@
     deployment.check_rejected(&hanging, &[&other], "pay", "left-other");
 }
 
-/// Guards against requests that run twice because a process of a version that does not share its ids accepts connections, too.
+/// Guards against a second execution beside a process of an earlier version, which does not share its ids.
 #[test]
-fn request_that_must_not_run_twice_is_rejected_beside_a_process_that_shares_no_ids() {
+fn non_idempotent_request_is_rejected_beside_a_process_of_an_earlier_version() {
     let deployment = Deployment::new();
-    let unaware = OlderProcess::start(&deployment.listener);
+    let legacy = LegacyProcess::start(&deployment.listener);
     let new = deployment.start_process();
     for class in CLASSES {
         let status = read_status(&send(&new, class, class));
         assert_eq!((status, deployment.runs(class)), (503, 0), "{class}");
     }
     assert_eq!(read_status(&send(&new, "read", "read")), 200);
-    drop(unaware);
+    drop(legacy);
     for class in CLASSES {
         let id = format!("{class} later");
         wait_until("the request is served", || {
--- a/tests/replacement_soak.rs
+++ b/tests/replacement_soak.rs
@@ -1,5 +1,5 @@
-//! A seeded soak of processes that replace one another on one listening socket: they are started, told to end, killed and stopped for a
-//! while, beside clients that leave, requests that fail, and clients that use the ids of other requests. The checker reads only what
+//! A seeded soak of processes that replace one another on one listening socket: they are started, terminated, killed and paused,
+//! while clients disconnect, requests fail, and some clients reuse the ids of other requests. The checker reads only what
 //! the clients and the servers saw.
 //!
 //! A few seeds run here. `SOAK_SEEDS=100..150 cargo test --release --test replacement_soak` runs others.
@@ -18,8 +18,6 @@
 
 /// Seeds of a run without `SOAK_SEEDS`.
 const DEFAULT_SEEDS: Range<u64> = 1..9;
-/// Number of seeds that run at a time.
-const CONCURRENT_SEEDS: usize = 4;
 const RUN_TIME: Duration = Duration::from_secs(6);
 const SERVERS: usize = 3;
 const CLIENTS: usize = 10;
@@ -143,7 +141,7 @@
     }
 }
 
-/// Sends one request after the other, on new connections and kept ones, and leaves in the midst of some.
+/// Sends requests one after the other, on new and reused connections, and disconnects during some of them.
 fn run_client(run: &Run, node: SocketAddr, number: u64) {
     let mut random = run.random(number);
     let mut kept = None;
@@ -270,17 +268,9 @@
     let run = Arc::new(Run::new(seed));
     let servers: Vec<_> = (0..SERVERS).map(|_| start_server(&run)).collect();
     let discovery = Discovery::start();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(number, server)| server.endpoint_entry(&format!("s-{number}"), "ready"))
-        .collect();
+    let endpoints = ready_servers(servers.iter().map(|server| server.address));
     let settings = settings(TIMEOUT.as_millis() as u64);
-    let text = config(
-        discovery.address,
-        &endpoint_list(1, true, &entries),
-        &settings,
-    );
+    let text = config(discovery.address, &endpoints, &settings);
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
     let first = Node::start_on(&text, &listener);
     let address = first.address;
@@ -297,33 +287,9 @@
     check_run(&run, ended)
 }
 
-fn seeds() -> Range<u64> {
-    let parse = |text: String| {
-        let (first, end) = text.split_once("..")?;
-        Some(first.parse().ok()?..end.parse().ok()?)
-    };
-    std::env::var("SOAK_SEEDS").map_or(DEFAULT_SEEDS, |text| {
-        parse(text).expect("SOAK_SEEDS is a range such as 100..150")
-    })
-}
-
 /// Guards against requests that run twice while processes replace one another, end, are killed and hang.
 #[test]
 fn ids_run_once_while_processes_are_replaced_under_seeded_faults() {
-    let next = Mutex::new(seeds());
-    let broken: Vec<String> = thread::scope(|scope| {
-        let workers = [0; CONCURRENT_SEEDS].map(|_| {
-            scope.spawn(|| {
-                let next_seed = || lock(&next).next();
-                std::iter::from_fn(next_seed)
-                    .flat_map(run_seed)
-                    .collect::<Vec<_>>()
-            })
-        });
-        workers
-            .into_iter()
-            .flat_map(|worker| worker.join().expect("the run does not panic"))
-            .collect()
-    });
+    let broken = run_seeds(DEFAULT_SEEDS, run_seed);
     assert!(broken.is_empty(), "{}: {broken:#?}", broken.len());
 }
--- a/tests/request_ids.rs
+++ b/tests/request_ids.rs
@@ -48,12 +48,7 @@
 
 fn start_node(servers: &[&Server], settings: &str) -> (Node, Discovery) {
     let discovery = Discovery::start();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(number, server)| server.endpoint_entry(&format!("s-{number}"), "ready"))
-        .collect();
-    let endpoints = endpoint_list(1, true, &entries);
+    let endpoints = ready_servers(servers.iter().map(|server| server.address));
     (
         Node::start(&config(discovery.address, &endpoints, settings)),
         discovery,
@@ -206,16 +201,8 @@
 fn id_whose_client_left_does_not_run_again_at_the_other_process_of_an_upgrade() {
     let servers = [start_slow_server(), start_slow_server()];
     let discovery = Discovery::start();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(number, server)| server.endpoint_entry(&format!("s-{number}"), "ready"))
-        .collect();
-    let text = config(
-        discovery.address,
-        &endpoint_list(1, true, &entries),
-        &settings(5_000),
-    );
+    let endpoints = ready_servers(servers.iter().map(|server| server.address));
+    let text = config(discovery.address, &endpoints, &settings(5_000));
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
     let old = Node::start_on(&text, &listener);
     let message = request("upgrade", "pay", 100);
@@ -228,7 +215,7 @@
     assert_eq!(runs(&servers, "upgrade"), 1);
 }
 
-/// Guards against ids that are dropped to make room for others: a process that has no room for another id refuses it.
+/// Guards against dropping retained ids in favor of new ones: a process whose table is full rejects new ids.
 #[test]
 fn ids_of_clients_that_left_run_once_however_many_there_are() {
     const IDS: usize = 700;
--- a/tests/request_lengths.rs
+++ b/tests/request_lengths.rs
@@ -98,12 +98,7 @@
 
 fn start_node(servers: &[Arc<Server>]) -> (Node, Discovery) {
     let discovery = Discovery::start();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(number, server)| server.endpoint_entry(&format!("s-{number}"), "ready"))
-        .collect();
-    let endpoints = endpoint_list(1, true, &entries);
+    let endpoints = ready_servers(servers.iter().map(|server| server.address));
     let text = config(discovery.address, &endpoints, &settings(15_000))
         .replace("\"memory_mb\":192", MEMORY_MB);
     (Node::start(&text), discovery)
@@ -211,13 +206,8 @@
     ];
     for (reply, expected_status) in replies {
         let discovery = Discovery::start();
-        let entries: Vec<_> = (0..3)
-            .map(|number| {
-                let address = start_early_server(100_000, reply);
-                endpoint_entry(&format!("s-{number}"), address, "ready")
-            })
-            .collect();
-        let endpoints = endpoint_list(1, true, &entries);
+        let addresses = (0..3).map(|_| start_early_server(100_000, reply));
+        let endpoints = ready_servers(addresses);
         let node = Node::start(&config(discovery.address, &endpoints, &settings(15_000)));
         let mut stream = TcpStream::connect(node.address).expect("connect to the node");
         let head =
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -1,5 +1,5 @@
-//! How the end of a server's response is told (RFC 9112, section 6.3), with real node processes on loopback: what is complete
-//! is forwarded, and what broke off is not taken for complete.
+//! Framing of server responses (RFC 9112, section 6.3), with real node processes on loopback: a complete response is forwarded,
+//! and a truncated one is not taken for complete.
 
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -58,7 +58,7 @@
     /// The body as it is written.
     encoded_body: Vec<u8>,
     end: End,
-    /// Whether the client asks for the close of its own connection.
+    /// Whether the client sends `Connection: close`.
     client_closes: bool,
 }
 
@@ -138,17 +138,8 @@
 fn start_node(plans: &[Plan]) -> (Node, Discovery) {
     let plans = Arc::new(plans.to_vec());
     let discovery = Discovery::start();
-    let entries: Vec<_> = (0..SERVERS)
-        .map(|number| {
-            let address = start_server(Arc::clone(&plans));
-            endpoint_entry(&format!("s-{number}"), address, "ready")
-        })
-        .collect();
-    let text = config(
-        discovery.address,
-        &endpoint_list(1, true, &entries),
-        &settings(DEADLINE_MS),
-    );
+    let endpoints = ready_servers((0..SERVERS).map(|_| start_server(Arc::clone(&plans))));
+    let text = config(discovery.address, &endpoints, &settings(DEADLINE_MS));
     (Node::start(&text), discovery)
 }
 
@@ -165,7 +156,7 @@
     }
 }
 
-/// Sends the request of each plan on a connection of its own. Returns the complete responses; `None` for one that is not.
+/// Sends the request of each plan on a new connection. Returns the responses; `None` for an incomplete one.
 fn responses(plans: &[Plan]) -> Vec<Option<Message>> {
     let (node, _discovery) = start_node(plans);
     plans
@@ -187,6 +178,26 @@
     response.is_some_and(|response| response.status() == 200 && response.body == plan.body)
 }
 
+/// Asserts that each client gets the complete response of its plan.
+fn assert_all_are_forwarded(plans: &[Plan]) {
+    let responses = responses(plans);
+    let failures: Vec<_> = plans
+        .iter()
+        .zip(&responses)
+        .filter(|(plan, response)| !is_forwarded(plan, response.as_ref()))
+        .map(|(plan, response)| {
+            let status = response.as_ref().map(Message::status);
+            format!("{}: {status:?}", plan.describe())
+        })
+        .collect();
+    assert!(
+        failures.is_empty(),
+        "{} of {}: {failures:#?}",
+        failures.len(),
+        plans.len()
+    );
+}
+
 /// Guards against giving up complete responses that end with their connection.
 #[test]
 fn response_that_ends_with_its_connection_is_forwarded() {
@@ -220,22 +231,7 @@
             });
         }
     }
-    let responses = responses(&plans);
-    let failures: Vec<_> = plans
-        .iter()
-        .zip(&responses)
-        .filter(|(plan, response)| !is_forwarded(plan, response.as_ref()))
-        .map(|(plan, response)| {
-            let status = response.as_ref().map(Message::status);
-            format!("{}: {status:?}", plan.describe())
-        })
-        .collect();
-    assert!(
-        failures.is_empty(),
-        "{} of {}: {failures:#?}",
-        failures.len(),
-        plans.len()
-    );
+    assert_all_are_forwarded(&plans);
 }
 
 /// Asserts that no client gets a response of status 200 that looks complete.
@@ -308,8 +304,5 @@
             });
         }
     }
-    let responses = responses(&plans);
-    for (plan, response) in plans.iter().zip(&responses) {
-        assert!(is_forwarded(plan, response.as_ref()), "{}", plan.describe());
-    }
+    assert_all_are_forwarded(&plans);
 }
--- a/tests/slow_servers.rs
+++ b/tests/slow_servers.rs
@@ -151,14 +151,10 @@
 
 fn start_node(servers: &[SocketAddr], timeout: Duration) -> (Node, Discovery) {
     let discovery = Discovery::start();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(number, address)| endpoint_entry(&format!("s-{number}"), *address, "ready"))
-        .collect();
+    let endpoints = ready_servers(servers.iter().copied());
     let text = config(
         discovery.address,
-        &endpoint_list(1, true, &entries),
+        &endpoints,
         &settings(timeout.as_millis() as u64),
     );
     (Node::start(&text), discovery)
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -20,8 +20,6 @@
 const KIB: usize = 1024;
 /// Seeds of a run without `SOAK_SEEDS`.
 const DEFAULT_SEEDS: Range<u64> = 1..9;
-/// Number of seeds that run at a time.
-const CONCURRENT_SEEDS: usize = 4;
 /// Time from the start of the clients to SIGTERM.
 const RUN_TIME: Duration = Duration::from_secs(4);
 /// Time that the platform adds to the longest deadline before it kills a process.
@@ -713,35 +711,8 @@
     broken
 }
 
-fn seeds() -> Range<u64> {
-    let parse = |text: String| {
-        let (first, end) = text.split_once("..")?;
-        Some(first.parse().ok()?..end.parse().ok()?)
-    };
-    std::env::var("SOAK_SEEDS").map_or(DEFAULT_SEEDS, |text| {
-        parse(text).expect("SOAK_SEEDS is a range such as 100..160")
-    })
-}
-
 #[test]
 fn all_rules_hold_under_seeded_faults() {
-    let seeds = seeds();
-    let next = Mutex::new(seeds);
-    let broken: Vec<String> = thread::scope(|scope| {
-        let workers: Vec<_> = (0..CONCURRENT_SEEDS)
-            .map(|_| {
-                scope.spawn(|| {
-                    let next_seed = || lock(&next).next();
-                    std::iter::from_fn(next_seed)
-                        .flat_map(run_seed)
-                        .collect::<Vec<_>>()
-                })
-            })
-            .collect();
-        workers
-            .into_iter()
-            .flat_map(|worker| worker.join().expect("the run does not panic"))
-            .collect()
-    });
+    let broken = run_seeds(DEFAULT_SEEDS, run_seed);
     assert!(broken.is_empty(), "{}: {broken:#?}", broken.len());
 }
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -347,23 +347,23 @@
     );
 }
 
-/// How a list is written.
+/// Layout of a list as JSON text.
 #[derive(Clone, Copy, Debug)]
 enum Layout {
     /// Indented, with this line end.
     Indented(&'static str),
-    /// Without a line end behind it.
+    /// Without a line end after it.
     Unterminated,
-    /// Behind and before other lists, in one chunk.
+    /// Between two other lists, in one chunk.
     WithinSeveral,
     /// With more white space between two tokens than a list may have of other bytes.
     Spaced,
 }
 
-/// How the bytes of a list are divided into chunks.
+/// Division of a list into chunks.
 #[derive(Clone, Copy, Debug)]
 enum Division {
-    Whole,
+    OneChunk,
     SingleBytes,
 }
 
@@ -398,7 +398,7 @@
 /// Writes chunks of a watch whose head has been written. `None` if the node has closed the watch.
 fn write_divided(stream: &mut TcpStream, text: &str, division: Division) -> Option<()> {
     match division {
-        Division::Whole => stream.write_all(chunk(text).as_bytes()).ok(),
+        Division::OneChunk => stream.write_all(chunk(text).as_bytes()).ok(),
         Division::SingleBytes => {
             let chunks: String = text.chars().map(|byte| chunk(&byte.to_string())).collect();
             stream.write_all(chunks.as_bytes()).ok()
@@ -411,7 +411,7 @@
 fn list_in_any_layout_takes_effect_without_another_watch() {
     for subscribed in [false, true] {
         for layout in Layout::ALL {
-            for division in [Division::Whole, Division::SingleBytes] {
+            for division in [Division::OneChunk, Division::SingleBytes] {
                 if matches!((layout, division), (Layout::Spaced, Division::SingleBytes)) {
                     continue; // Millions of chunks would take longer than a list may take.
                 }
