--- a/src/node/upstream/http1/response_reader.rs
+++ b/src/node/upstream/http1/response_reader.rs
@@ -142,12 +142,13 @@
         on_streamed_body: Option<&dyn Fn(BodyReceiver, Reservation)>,
     ) -> Result<Option<Bytes>, StreamError> {
         let content_length = body.size_hint().exact();
-        let is_too_long = content_length.is_some_and(|len| len > MAX_STREAMED_BODY_BYTES as u64);
+        if content_length.is_some_and(|len| len > MAX_STREAMED_BODY_BYTES as u64) {
+            log::line("a server's response exceeds the size limit");
+            return Err(StreamError::Connection(ConnectionError::InvalidResponse));
+        }
         let coding = transfer_coding(&head.headers);
-        if is_too_long || coding == TransferCoding::Unsupported {
-            log::line(
-                "a server's response exceeds the size limit or has an unsupported transfer coding",
-            );
+        if coding == TransferCoding::Unsupported {
+            log::line("a server's response has an unsupported transfer coding");
             return Err(StreamError::Connection(ConnectionError::InvalidResponse));
         }
         if coding == TransferCoding::Chunked {
