Reopen a watch with backoff while discovery sends invalid lists

Cause: a watch that received anything counted as one that made progress, which resets the delay. One that ends for an invalid list no longer does; the delay doubles up to an eighth of the drain grace, within which the steps of a watch fit as before.

--- a/src/node/discovery/endpoint_list/mod.rs
+++ b/src/node/discovery/endpoint_list/mod.rs
@@ -117,7 +117,8 @@
 
     async fn handle_failure(&mut self, error: &WatchError, state: &mut WatchState) -> NextWatch {
         log::line(format_args!("endpoint list: the watch ended: {error}"));
-        if matches!(error, WatchError::Invalid(_)) {
+        let is_invalid = matches!(error, WatchError::Invalid(_));
+        if is_invalid {
             state.generation = None;
         }
         self.updates.mark_list_lost();
@@ -125,7 +126,7 @@
             self.updates.dispatcher().endpoint_list_failed();
             return NextWatch::Reopen;
         }
-        self.retry_delay = if state.has_received {
+        self.retry_delay = if state.has_received && !is_invalid {
             FIRST_RETRY_DELAY
         } else {
             (self.retry_delay * 2).min(self.timing.max_retry_delay)
--- a/src/node/discovery/endpoint_list/timing.rs
+++ b/src/node/discovery/endpoint_list/timing.rs
@@ -11,8 +11,8 @@
 /// Time after which a watch is closed if it receives nothing, or if a list that has begun does not
 /// end. Discovery sends an empty line every 2 s while nothing changes.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_800);
-/// The delay before a watch that received data is reopened. After each attempt that receives nothing,
-/// the delay doubles.
+/// The delay before a watch that received data is reopened. After each attempt that receives nothing
+/// or an invalid list, the delay doubles.
 pub const FIRST_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Timeout for opening a subscribed watch. Discovery queues such requests for up to 2 s.
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -484,3 +484,24 @@
         cluster.drain_first_server(&mut second, &node, 5, is_full);
     }
 }
+
+/// Guards against requesting the whole list at full speed for as long as discovery sends broken ones.
+#[test]
+fn watch_with_broken_lists_is_reopened_with_backoff() {
+    const PERIOD: Duration = Duration::from_secs(3);
+    // An eighth of the drain grace of 2 s, and the first attempts, whose delays are shorter.
+    const MAX_WATCHES: usize = 3 + 3_000 / 250;
+    let cluster = Cluster::new(false);
+    let discovery = TcpListener::bind("127.0.0.1:0").expect("bind a loopback socket");
+    let node = Node::start(&cluster.config(&discovery, 1));
+    let started_at = Instant::now();
+    let mut watches = 0;
+    while started_at.elapsed() < PERIOD {
+        let (mut watch, _) = next_watch(&discovery);
+        watches += 1;
+        let _ = watch.write_all(format!("{HEAD}{}", chunk("{]\n")).as_bytes());
+    }
+    assert!(watches <= MAX_WATCHES, "{watches} watches in {PERIOD:?}");
+    let (mut watch, _) = next_watch(&discovery);
+    cluster.drain_first_server(&mut watch, &node, 3, true);
+}
